--- /dev/null
+++ b/packages/core/plantaincart_core/spread.py
@@ -0,0 +1,243 @@
+"""Choice of the keys to move so that owners bear equal shares of the load."""
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from itertools import accumulate
+from math import sqrt
+
+from plantaincart_core.ownermap import KEYS, KeyRange, OwnerMap
+
+__all__ = ["KeyMove", "Owner", "SpreadSettings", "divide_keys", "plan_moves"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Owner:
+    """
+    An upstream that may own keys.
+
+    Parameters
+    ----------
+    id : str
+        Its identity.
+    born : int
+        Start of its process in Unix milliseconds.
+    capacity : float
+        Requests at a time that it can work on at the usual speed.
+    receives : bool
+        Whether it may be given further keys.
+    """
+
+    id: str
+    born: int
+    capacity: float
+    receives: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyMove:
+    """
+    Neighbouring keys that should get another owner.
+
+    Parameters
+    ----------
+    first, last : int
+        Ends; both belong to the range.
+    source : str
+        Present owner; empty for none.
+    target : str
+        Owner to be.
+    """
+
+    first: int
+    last: int
+    source: str
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpreadSettings:
+    """
+    How much imbalance is borne before keys move.
+
+    Parameters
+    ----------
+    tolerance : float
+        Part of the mean utilisation by which an owner may exceed it.
+    significance : float
+        Standard errors by which the excess must stand out from chance.
+    max_moves : int
+        Moves planned at a time.
+    """
+
+    tolerance: float = 0.3
+    significance: float = 2.0
+    max_moves: int = 16
+
+
+def divide_keys(owners: Sequence[Owner]) -> list[KeyMove]:
+    """
+    Divide the whole key space in proportion to the owners' capacity.
+
+    Parameters
+    ----------
+    owners : sequence of Owner
+        At least one.
+
+    Returns
+    -------
+    list of KeyMove
+        One for each owner, without a source.
+
+    Examples
+    --------
+    >>> one, two = (Owner(id=name, born=1, capacity=2.0) for name in "ab")
+    >>> [(move.first, move.last, move.target) for move in divide_keys([one, two])]
+    [(0, 32767, 'a'), (32768, 65535, 'b')]
+    """
+    total = sum(owner.capacity for owner in owners)
+    sums = list(accumulate(owner.capacity for owner in owners))
+    ends = [round(KEYS * part / total) for part in sums]
+    starts = [0, *ends[:-1]]
+    return [
+        KeyMove(first=start, last=end - 1, source="", target=owner.id)
+        for owner, start, end in zip(owners, starts, ends, strict=True)
+        if end > start
+    ]
+
+
+def plan_moves(
+    owner_map: OwnerMap,
+    loads: Mapping[int, float],
+    owners: Mapping[str, Owner],
+    request_load: float,
+    settings: SpreadSettings,
+) -> list[KeyMove]:
+    """
+    Plan moves from the owners with the highest utilisation to those with the lowest.
+
+    Parameters
+    ----------
+    owner_map : OwnerMap
+        Present owners.
+    loads : mapping of int to float
+        Requests at a time that each key keeps busy.
+    owners : mapping of str to Owner
+        Upstreams by identity; those that aren't there own nothing that can move.
+    request_load : float
+        Load that one counted request adds, for the error of the measurement.
+    settings : SpreadSettings
+        Imbalance that is borne.
+
+    Returns
+    -------
+    list of KeyMove
+        Moves in the order in which they should be made.
+
+    Notes
+    -----
+    Among the runs of neighbouring keys that carry about the load to be moved, the
+    one with the fewest keys is taken: hot keys lie next to each other, and what
+    matters to the upstreams is how many keys change hands.
+    """
+    plan = _Plan(owner_map, loads, owners)
+    if plan.capacity <= 0.0 or plan.load <= 0.0:
+        return []
+    moves: list[KeyMove] = []
+    stuck: set[str] = set()
+    while len(moves) < settings.max_moves:
+        move = _plan_move(plan, request_load, settings, stuck)
+        if move is None:
+            break
+        moves.append(move)
+    return moves
+
+
+class _Plan:
+    """Loads of the owners and of their keys while moves are planned."""
+
+    def __init__(
+        self,
+        owner_map: OwnerMap,
+        loads: Mapping[int, float],
+        owners: Mapping[str, Owner],
+    ) -> None:
+        self.owners = owners
+        self.keys: dict[str, list[int]] = {owner: [] for owner in owners}
+        self.loads = loads
+        self.ranges: dict[str, list[KeyRange]] = {owner: [] for owner in owners}
+        for one in owner_map:
+            if one.owner in self.ranges:
+                self.ranges[one.owner].append(one)
+        for key in sorted(loads):
+            owner = owner_map.find(key).owner
+            if owner in self.keys:
+                self.keys[owner].append(key)
+        self.by_owner = {
+            owner: sum(loads[key] for key in keys) for owner, keys in self.keys.items()
+        }
+        self.load = sum(self.by_owner.values())
+        self.capacity = sum(owner.capacity for owner in owners.values())
+        self.mean = self.load / self.capacity if self.capacity > 0.0 else 0.0
+
+    def utilisation(self, owner: str) -> float:
+        return self.by_owner[owner] / max(self.owners[owner].capacity, 1e-9)
+
+    def take(self, owner: str, target: str, first: int, last: int) -> None:
+        keys = self.keys[owner]
+        start, end = bisect_left(keys, first), bisect_right(keys, last)
+        moved, keys[start:end] = keys[start:end], []
+        amount = sum(self.loads[key] for key in moved)
+        self.by_owner[owner] -= amount
+        self.by_owner[target] += amount
+        self.keys[target] = sorted(self.keys[target] + moved)
+
+
+def _plan_move(
+    plan: _Plan, request_load: float, settings: SpreadSettings, stuck: set[str]
+) -> KeyMove | None:
+    donors = [owner for owner in plan.owners if owner not in stuck]
+    receivers = [owner for owner, one in plan.owners.items() if one.receives]
+    if not donors or not receivers:
+        return None
+    donor = max(donors, key=plan.utilisation)
+    fair = plan.mean * plan.owners[donor].capacity
+    excess = plan.by_owner[donor] - fair
+    error = sqrt(max(fair, request_load) * request_load)
+    if excess < max(settings.tolerance * fair, settings.significance * error):
+        return None
+    target = min(receivers, key=plan.utilisation)
+    room = plan.mean * plan.owners[target].capacity - plan.by_owner[target]
+    amount = min(excess, room)
+    run = _find_run(plan, donor, amount) if target != donor else None
+    if run is None:
+        stuck.add(donor)
+        return _plan_move(plan, request_load, settings, stuck)
+    first, last = run
+    plan.take(donor, target, first, last)
+    return KeyMove(first=first, last=last, source=donor, target=target)
+
+
+def _find_run(plan: _Plan, donor: str, amount: float) -> tuple[int, int] | None:
+    """Find the shortest run of keys whose load comes near to an amount."""
+    if amount <= 0.0:
+        return None
+    keys, loads = plan.keys[donor], plan.loads
+    best: tuple[int, int] | None = None
+    start, held = 0, 0.0
+    for end, key in enumerate(keys):
+        if end > start and _is_parted(plan.ranges[donor], keys[end - 1], key):
+            start, held = end, 0.0
+        held += loads[key]
+        while start < end and held - loads[keys[start]] >= amount:
+            held -= loads[keys[start]]
+            start += 1
+        near = amount * 0.5 <= held <= amount * 1.3
+        if near and (best is None or key - keys[start] < best[1] - best[0]):
+            best = (keys[start], key)
+    return best
+
+
+def _is_parted(ranges: Sequence[KeyRange], left: int, right: int) -> bool:
+    at = bisect_right(ranges, right, key=lambda one: one.first) - 1
+    return ranges[at].first > left
--- /dev/null
+++ b/packages/core/plantaincart_core/windowbudget.py
@@ -0,0 +1,75 @@
+"""Budget of repeats in any window of time, shared out among instances."""
+
+from collections import deque
+
+__all__ = ["WindowBudget"]
+
+
+class WindowBudget:
+    """
+    Bound repeats by the requests of a sliding window.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request.
+    extra : float
+        Repeats allowed besides, by all instances together.
+    window_s : float
+        Length of the window in seconds.
+
+    Notes
+    -----
+    Each instance counts its own requests and takes its part of `extra`.
+
+    Examples
+    --------
+    >>> budget = WindowBudget(ratio=0.5, extra=1.0, window_s=10.0)
+    >>> budget.record_request(now=0.0)
+    >>> budget.record_request(now=0.0)
+    >>> [budget.spend(now=1.0, instances=1) for _ in range(3)]
+    [True, True, False]
+    >>> budget.spend(now=12.0, instances=1)
+    True
+    """
+
+    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def record_request(self, now: float) -> None:
+        """Count a request of a caller."""
+        self._requests.append(now)
+        _forget(self._requests, now - self.window_s)
+
+    def spend(self, now: float, instances: int) -> bool:
+        """
+        Take the right to one repeat.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        instances : int
+            Instances that share the budget, at least 1.
+
+        Returns
+        -------
+        bool
+            Whether the repeat is within the budget.
+        """
+        _forget(self._requests, now - self.window_s)
+        _forget(self._repeats, now - self.window_s)
+        allowed = self.ratio * len(self._requests) + self.extra / max(1, instances)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+
+def _forget(times: deque[float], before: float) -> None:
+    while times and times[0] < before:
+        times.popleft()
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -0,0 +1,472 @@
+"""The one instance that places keys: its term, its members and its map."""
+
+from asyncio import Lock, Task, create_task, sleep
+from collections import deque
+from collections.abc import Callable
+from time import monotonic
+
+from plantaincart_core.ownermap import KeyRange
+from plantaincart_schema.codec import decode_json, encode_json
+from plantaincart_schema.exception import MalformedMessageError
+from plantaincart_schema.generated.direct import (
+    CoordinatorNotice,
+    CoordinatorRow,
+    MapChange,
+    MemberReport,
+    OwnershipRow,
+)
+
+from plantaincart_router.direct.granter import Granter
+from plantaincart_router.direct.interface import GrantCalls
+from plantaincart_router.direct.ledger import OwnershipLedger
+from plantaincart_router.direct.placement import ServicePlacement
+from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.store import (
+    Store,
+    StoreConflictError,
+    StoreRow,
+    StoreUnavailableError,
+)
+from plantaincart_router.direct.view import SystemView
+from plantaincart_router.log import write_event
+
+__all__ = ["COORDINATOR_KEY", "COORDINATOR_TABLE", "OWNERSHIP_TABLE", "Coordinator"]
+
+COORDINATOR_TABLE = "coordinator"
+COORDINATOR_KEY = "term"
+OWNERSHIP_TABLE = "ownership"
+
+# Fencing tokens are the epoch and a sequence number in one integer.
+SEQUENCE_BITS = 24
+# Changes kept for members that lag; one that lags more gets the whole map.
+KEPT_CHANGES = 1000
+STEP_S = 0.1
+# Loads are sent with every so many notices to a member.
+SLOWNESS_EVERY = 4
+# Seconds for which the upstreams must be known before keys are first divided.
+SETTLE_S = 0.5
+SLOWNESS_WEIGHT = 0.15
+# Seconds between two new grants of keys that their owner says it doesn't hold.
+REGRANT_PAUSE_S = 1.0
+
+
+class _Member:
+    """What a live instance reported last."""
+
+    def __init__(self, report: MemberReport, now: float) -> None:
+        self.report = report
+        self.heard_at = now
+        self.notices = 0
+
+
+class Coordinator(OwnershipLedger):
+    """
+    A term as coordinator.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+        Settings of the instance.
+    view : SystemView
+        What is known of the system.
+    store : Store
+        Keeps the term and the decisions.
+    calls : GrantCalls
+        Calls to upstreams.
+    term : CoordinatorRow
+        The row that names this instance.
+    version : int
+        Version of that row.
+    notify : callable
+        Sends a notice to the member of a name.
+
+    Attributes
+    ----------
+    ended : bool
+        Whether the term is over.
+
+    Notes
+    -----
+    The term lasts while renewals of its row are confirmed. While most members say
+    that the store answers none of them nobody can take over, so the term goes on for
+    `offline_s`. An earlier coordinator may still send grants for `confirmed_s` after
+    the takeover; upstreams that don't answer a release count as holding their keys
+    until the last of these has lapsed.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        view: SystemView,
+        store: Store,
+        calls: GrantCalls,
+        term: CoordinatorRow,
+        version: int,
+        notify: Callable[[str, CoordinatorNotice], None],
+    ) -> None:
+        self._settings = settings
+        self._times = settings.coordination
+        self._view = view
+        self._store = store
+        self._term = term
+        self._term_version = version
+        self._notify = notify
+        self._granter = Granter(calls, self._times)
+        self._placements: dict[str, ServicePlacement] = {}
+        self._row_versions: dict[str, int] = {}
+        self._write_lock = Lock()
+        self._sequence = 0
+        self._changes: deque[MapChange] = deque(maxlen=KEPT_CHANGES)
+        self._map_version = 0
+        self._members: dict[str, _Member] = {}
+        self._slowness: dict[str, float] = {}
+        self._regranted: dict[tuple[str, int], float] = {}
+        self._confirmed_at = monotonic()
+        self._doubt = False
+        self._started_at = monotonic()
+        self._resumed = False
+        self._tasks: list[Task[None]] = []
+        self._decayed_at = monotonic()
+        self.ended = False
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the term."""
+        return self._term.epoch
+
+    @property
+    def member_count(self) -> int:
+        """Instances that reported lately."""
+        return len(self._members)
+
+    def start(self) -> None:
+        """Begin the term's work."""
+        write_event("term_started", epoch=self.epoch)
+        self._tasks = [
+            create_task(self._run_guarded("renew_term", self._renew_term)),
+            create_task(self._run_guarded("place", self._place)),
+            create_task(self._run_guarded("renew", self._granter.renew)),
+        ]
+
+    def end(self, reason: str) -> None:
+        """End the term; nothing is granted from now on."""
+        if self.ended:
+            return
+        self.ended = True
+        write_event("term_ended", epoch=self.epoch, reason=reason)
+        self._granter.acts = False
+        self._granter.clear()
+        for placement in self._placements.values():
+            placement.stop()
+        for task in self._tasks:
+            task.cancel()
+        for name in self._members:
+            self._notify(name, self._make_notice(name, resigned=True))
+
+    async def hand_over(self) -> None:
+        """End the term and say in the store that the role is free."""
+        self.end("planned")
+        row = CoordinatorRow(
+            holder=self._term.holder,
+            address=self._term.address,
+            epoch=self.epoch,
+            beat=self._term.beat + 1,
+            vacant=True,
+        )
+        try:
+            await self._write_term(row)
+        except (StoreUnavailableError, StoreConflictError) as error:
+            write_event("term_not_vacated", epoch=self.epoch, error=str(error))
+
+    def receive(self, report: MemberReport) -> None:
+        """Take a member's report and answer it."""
+        if self.ended:
+            return
+        if report.epoch > self.epoch:
+            self.end("a later epoch is known")
+            return
+        now = monotonic()
+        if report.leaving:
+            self._members.pop(report.member, None)
+        member = self._members.get(report.member)
+        if member is None:
+            member = self._members[report.member] = _Member(report, now)
+        span_s = max(now - member.heard_at, self._times.report_s)
+        member.report, member.heard_at = report, now
+        self._take_loads(report, span_s)
+        self._notify(report.member, self._make_notice(report.member))
+
+    def next_fence(self) -> int:
+        """Return a fencing token above all that were ever given."""
+        self._sequence += 1
+        return (self.epoch << SEQUENCE_BITS) + self._sequence
+
+    async def write(
+        self, service: str, describe: Callable[[int, int], OwnershipRow]
+    ) -> None:
+        """Write the row of a service; end the term if a later one has written."""
+        async with self._write_lock:
+            try:
+                await self._write_row(service, describe(self.epoch, self._sequence))
+            except StoreConflictError:
+                await self._resolve_conflict(service)
+                await self._write_row(service, describe(self.epoch, self._sequence))
+
+    def publish(self, service: str, changes: list[KeyRange]) -> None:
+        """Tell the members of new owners."""
+        for keys in changes:
+            self._map_version += 1
+            self._changes.append(
+                MapChange(
+                    service=service,
+                    first=keys.first,
+                    last=keys.last,
+                    owner=keys.owner,
+                    born=keys.born,
+                    fence=keys.fence,
+                )
+            )
+        for name in self._members:
+            self._notify(name, self._make_notice(name))
+
+    async def _run_guarded(self, name: str, work) -> None:  # type: ignore[no-untyped-def]
+        try:
+            await work()
+        except Exception as error:
+            write_event("coordinator_task_failed", task=name, error=repr(error))
+            self.end(f"task {name} failed")
+            raise
+
+    async def _renew_term(self) -> None:
+        while not self.ended:
+            await sleep(self._times.beat_s)
+            began = monotonic()
+            row = CoordinatorRow(
+                holder=self._term.holder,
+                address=self._term.address,
+                epoch=self.epoch,
+                beat=self._term.beat + 1,
+                vacant=False,
+            )
+            try:
+                await self._write_term(row)
+                self._confirmed_at = began
+                self._doubt = False
+            except StoreConflictError:
+                if not await self._still_named():
+                    self.end("another instance has taken over")
+            except StoreUnavailableError as error:
+                self._check_confirmation(str(error))
+
+    async def _still_named(self) -> bool:
+        """Read the term's row; a write whose answer was lost may have changed it."""
+        try:
+            view = await self._store.read(COORDINATOR_TABLE)
+        except StoreUnavailableError:
+            return monotonic() - self._confirmed_at < self._times.confirmed_s
+        for row in view.rows:
+            if row.key == COORDINATOR_KEY:
+                found = decode_json(row.value, CoordinatorRow)
+                if (found.epoch, found.holder) == (self.epoch, self._term.holder):
+                    self._term, self._term_version = found, row.version
+                    return not found.vacant
+        return False
+
+    def _check_confirmation(self, error: str) -> None:
+        """Go on without the store only while no other instance reaches it either."""
+        now = monotonic()
+        age_s = now - self._confirmed_at
+        self._doubt = True
+        self._forget_members(now)
+        silences = [
+            one.report.store_silent_s
+            for name, one in self._members.items()
+            if name != self._term.holder
+        ]
+        if any(0.0 <= silence < self._times.reached_s for silence in silences):
+            self.end(f"the store answers others, but not this instance: {error}")
+        elif age_s > self._times.confirmed_s:
+            nobody = all(silence >= self._times.reached_s for silence in silences)
+            if not nobody or age_s > self._times.offline_s:
+                self.end(f"no renewal confirmed for {age_s:.1f} s: {error}")
+
+    async def _write_term(self, row: CoordinatorRow) -> None:
+        stored = StoreRow(
+            key=COORDINATOR_KEY, value=encode_json(row), version=self._term_version
+        )
+        self._term_version = await self._store.write(COORDINATOR_TABLE, stored)
+        self._term = row
+
+    async def _write_row(self, service: str, row: OwnershipRow) -> None:
+        version = self._row_versions.get(service, 0)
+        stored = StoreRow(key=service, value=encode_json(row), version=version)
+        self._row_versions[service] = await self._store.write(OWNERSHIP_TABLE, stored)
+
+    async def _resolve_conflict(self, service: str) -> None:
+        view = await self._store.read(OWNERSHIP_TABLE)
+        for row in view.rows:
+            if row.key == service:
+                found = decode_json(row.value, OwnershipRow)
+                if found.epoch > self.epoch:
+                    self.end("a later epoch has written")
+                    raise StoreUnavailableError("term ended", may_have_happened=False)
+                self._row_versions[service] = row.version
+                return
+        self._row_versions[service] = 0
+
+    async def _place(self) -> None:
+        while not self.ended:
+            try:
+                if not self._resumed:
+                    await self._resume()
+                await self._step()
+            except StoreUnavailableError as error:
+                write_event("placement_waits", error=str(error))
+            await sleep(STEP_S)
+
+    async def _resume(self) -> None:
+        view = await self._store.read(OWNERSHIP_TABLE)
+        rows = []
+        for row in view.rows:
+            try:
+                found = decode_json(row.value, OwnershipRow)
+            except MalformedMessageError as error:
+                write_event("ownership_row_unreadable", key=row.key, error=str(error))
+                continue
+            self._row_versions[row.key] = row.version
+            rows.append(found)
+        for found in rows:
+            placement = self._add_placement(found.service)
+            placement.resume(found)
+            self._extend_holds(found)
+            # From now on an earlier coordinator's write fails.
+            await self.write(found.service, placement.describe_row)
+        for found in rows:
+            self._placements[found.service].start_resumed()
+        self._resumed = True
+        self._map_version += 1
+        write_event("placements_resumed", services=len(rows))
+
+    def _extend_holds(self, row: OwnershipRow) -> None:
+        times = self._times
+        until = self._started_at + times.confirmed_s + times.call_timeout_s
+        until += times.hold_s * (1.0 + times.clock_drift) + times.hold_margin_s
+        for one in row.ranges:
+            self._granter.extend_hold(one.owner, one.born, until)
+            if one.previous:
+                self._granter.extend_hold(one.previous, one.previous_born, until)
+
+    def _add_placement(self, service: str) -> ServicePlacement:
+        placement = ServicePlacement(
+            service, self._settings, self._view, self._granter, self
+        )
+        self._placements[service] = placement
+        return placement
+
+    async def _step(self) -> None:
+        now = monotonic()
+        self._forget_members(now)
+        self._decay(now)
+        self._view.expire()
+        plan = self._view.plan
+        if plan is None or not self._view.upstreams_known:
+            return
+        if now - self._started_at < SETTLE_S:
+            return
+        refused, self._granter.refused = self._granter.refused, []
+        for policy in plan.services.values():
+            if not policy.keyed:
+                continue
+            placement = self._placements.get(policy.name)
+            if placement is None:
+                placement = self._add_placement(policy.name)
+            await placement.carry_out(placement.regrant_refused(refused))
+            await placement.step()
+
+    def _decay(self, now: float) -> None:
+        span_s = now - self._decayed_at
+        self._decayed_at = now
+        factor = 0.5 ** (span_s / (self._times.load_memory_s * 0.69))
+        for placement in self._placements.values():
+            placement.decay_load(factor)
+
+    def _take_loads(self, report: MemberReport, span_s: float) -> None:
+        for load in report.loads:
+            placement = self._placements.get(load.service)
+            if placement is not None:
+                work_s = [work / 1000.0 for work in load.work_ms]
+                placement.add_load(load.keys, work_s, span_s)
+        for upstream, ratio in report.slowness.items():
+            known = self._slowness.get(upstream, 1.0)
+            known += SLOWNESS_WEIGHT * (ratio - known)
+            self._slowness[upstream] = known
+            self._view.loads.get(upstream).slowness = known
+        now = monotonic()
+        for refused in report.refusing:
+            placement = self._placements.get(refused.service)
+            if placement is None:
+                continue
+            keys = placement.owners.find(refused.key)
+            name = (refused.service, keys.first)
+            recent = now - self._regranted.get(name, 0.0) < REGRANT_PAUSE_S
+            if keys.fence == refused.fence and not recent:
+                self._regranted[name] = now
+                self._granter.refused.append(keys)
+
+    def _forget_members(self, now: float) -> None:
+        for name, member in list(self._members.items()):
+            if now - member.heard_at > self._times.member_s:
+                del self._members[name]
+                write_event("member_lost", member=name)
+
+    def _make_notice(self, name: str, resigned: bool = False) -> CoordinatorNotice:
+        member = self._members.get(name)
+        report = member.report if member else None
+        seen = report.map_version if report and report.epoch == self.epoch else -1
+        behind = self._map_version - seen
+        complete = seen < 0 or behind > len(self._changes)
+        if complete:
+            changes = self._describe_map()
+        else:
+            changes = list(self._changes)[len(self._changes) - behind :]
+        slowness = {}
+        if member is not None:
+            member.notices += 1
+            if member.notices % SLOWNESS_EVERY == 1:
+                slowness = {
+                    upstream: round(value, 1)
+                    for upstream, value in self._slowness.items()
+                }
+        return CoordinatorNotice(
+            coordinator=self._term.holder,
+            epoch=self.epoch,
+            members=len(self._members),
+            map_version=self._map_version,
+            complete=complete and self._resumed,
+            resigned=resigned,
+            doubt=self._doubt,
+            changes=changes if self._resumed else [],
+            in_flight=self._sum_in_flight(),
+            slowness=slowness,
+        )
+
+    def _describe_map(self) -> list[MapChange]:
+        return [
+            MapChange(
+                service=service,
+                first=keys.first,
+                last=keys.last,
+                owner=keys.owner,
+                born=keys.born,
+                fence=keys.fence,
+            )
+            for service, placement in self._placements.items()
+            for keys in placement.describe()
+        ]
+
+    def _sum_in_flight(self) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for member in self._members.values():
+            for upstream, count in member.report.in_flight.items():
+                total[upstream] = total.get(upstream, 0) + count
+        return total
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -0,0 +1,307 @@
+"""An instance's tie to the coordinator, and its candidacy when that is lost."""
+
+from asyncio import Task, create_task, sleep
+from random import Random
+from time import monotonic
+
+from plantaincart_schema.codec import (
+    decode_json,
+    decode_packed,
+    encode_json,
+    encode_packed,
+)
+from plantaincart_schema.exception import MalformedMessageError
+from plantaincart_schema.generated.direct import (
+    CoordinatorNotice,
+    CoordinatorRow,
+    MemberReport,
+)
+from zmq import DEALER, ROUTER, Context
+
+from plantaincart_router.direct.coordinator import (
+    COORDINATOR_KEY,
+    COORDINATOR_TABLE,
+    Coordinator,
+)
+from plantaincart_router.direct.interface import Platform
+from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.store import (
+    StoreConflictError,
+    StoreRow,
+    StoreUnavailableError,
+)
+from plantaincart_router.direct.view import SystemView
+from plantaincart_router.log import write_event
+from plantaincart_router.socket import LoopSocket
+
+__all__ = ["Follower"]
+
+# Seconds between reads of the term's row while the coordinator is suspected.
+SUSPECT_READ_S = 0.4
+# Longest random delay in seconds before a candidate writes, so that one wins alone.
+CANDIDATE_DELAY_S = 0.15
+
+
+class Follower:
+    """
+    Report to the coordinator, take over its map, and replace it when it is lost.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+        Settings of the instance.
+    view : SystemView
+        What is known of the system.
+    platform : Platform
+        Store and calls.
+
+    Attributes
+    ----------
+    coordinator : Coordinator or None
+        This instance's own term, if it has one.
+    """
+
+    def __init__(
+        self, settings: DirectSettings, view: SystemView, platform: Platform
+    ) -> None:
+        self._settings = settings
+        self._times = settings.coordination
+        self._view = view
+        self._platform = platform
+        self._random = Random()
+        self._context: Context = Context()  # type: ignore[type-arg]
+        self._router: LoopSocket | None = None
+        self._dealer: LoopSocket | None = None
+        self._peers: dict[str, bytes] = {}
+        self._row: CoordinatorRow | None = None
+        self._row_version = 0
+        self._row_changed_at = monotonic()
+        self._row_read_at = 0.0
+        self._heard_at = 0.0
+        self._connected_at = 0.0
+        self._store_answered_at = monotonic()
+        self._resigned = False
+        self._doubted_at: float | None = None
+        self._probe: Task[None] | None = None
+        self._leaving = False
+        self._task: Task[None] | None = None
+        self.coordinator: Coordinator | None = None
+
+    def start(self, loop) -> None:  # type: ignore[no-untyped-def]
+        """Listen for other instances and look for the coordinator."""
+        self._loop = loop
+        self._router = LoopSocket(self._context, ROUTER, loop, self._receive_report)
+        self._router.bind(self._settings.host, self._settings.peer_port)
+        self._task = create_task(self._run())
+
+    def note_store_answer(self, at: float) -> None:
+        """Note when the store last answered anything."""
+        self._store_answered_at = max(self._store_answered_at, at)
+
+    async def leave(self) -> None:
+        """Give the role up and take part no more."""
+        self._leaving = True
+        if self.coordinator is not None:
+            await self.coordinator.hand_over()
+
+    def close(self) -> None:
+        """Release sockets."""
+        if self._task is not None:
+            self._task.cancel()
+        if self.coordinator is not None:
+            self.coordinator.end("stopped")
+        for socket in (self._router, self._dealer):
+            if socket is not None:
+                socket.close()
+        self._context.destroy(0)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except StoreUnavailableError as error:
+                write_event("coordinator_row_unread", error=str(error))
+            except Exception as error:
+                write_event("follower_failed", error=repr(error))
+            await sleep(self._times.report_s)
+
+    async def _step(self) -> None:
+        if self.coordinator is not None and self.coordinator.ended:
+            self.coordinator = None
+            self._row = None
+            self._resigned = False
+        self._report()
+        if self.coordinator is not None or self._leaving:
+            return
+        if self._row is None or self._resigned or self._is_silent():
+            await self._look_for_coordinator()
+
+    def _is_silent(self) -> bool:
+        since = max(self._heard_at, self._connected_at)
+        return monotonic() - since > self._times.silent_s
+
+    async def _look_for_coordinator(self) -> None:
+        now = monotonic()
+        read_lately = now - self._row_read_at < SUSPECT_READ_S
+        if read_lately and self._row is not None and not self._resigned:
+            return
+        await self._read_row()
+        row = self._row
+        if row is not None and not row.vacant:
+            unchanged_s = monotonic() - self._row_changed_at
+            if unchanged_s < self._times.unchanged_s:
+                return
+        await self._claim()
+
+    async def _read_row(self) -> None:
+        view = await self._platform.store.read(COORDINATOR_TABLE)
+        now = monotonic()
+        gap_s = now - self._row_read_at
+        self._row_read_at = now
+        self.note_store_answer(now)
+        found = next((row for row in view.rows if row.key == COORDINATOR_KEY), None)
+        if found is None:
+            self._row, self._row_version = None, 0
+            return
+        if found.version != self._row_version or gap_s > self._times.unchanged_s * 2:
+            self._row_changed_at = now
+        row = decode_json(found.value, CoordinatorRow)
+        old, self._row, self._row_version = self._row, row, found.version
+        if row.vacant:
+            return
+        if old is None or (old.holder, old.epoch) != (row.holder, row.epoch):
+            self._connect(row)
+
+    async def _claim(self) -> None:
+        await sleep(self._random.random() * CANDIDATE_DELAY_S)
+        old = self._row
+        epoch = max(self._view.epoch, old.epoch if old else 0) + 1
+        row = CoordinatorRow(
+            holder=self._settings.name,
+            address=f"{self._settings.host}:{self._settings.peer_port}",
+            epoch=epoch,
+            beat=0,
+            vacant=False,
+        )
+        stored = StoreRow(
+            key=COORDINATOR_KEY, value=encode_json(row), version=self._row_version
+        )
+        try:
+            version = await self._platform.store.write(COORDINATOR_TABLE, stored)
+        except StoreConflictError:
+            self._row_read_at = 0.0
+            return
+        self._row, self._row_version, self._resigned = row, version, False
+        self._disconnect()
+        self.coordinator = Coordinator(
+            self._settings,
+            self._view,
+            self._platform.store,
+            self._platform.grants,
+            row,
+            version,
+            self._notify,
+        )
+        self.coordinator.start()
+        self._report()
+
+    def _connect(self, row: CoordinatorRow) -> None:
+        self._disconnect()
+        write_event("coordinator_known", holder=row.holder, epoch=row.epoch)
+        if row.holder == self._settings.name:
+            # A row of this instance's earlier life: it is replaced once unchanged.
+            return
+        host, _, port = row.address.rpartition(":")
+        self._dealer = LoopSocket(
+            self._context, DEALER, self._loop, self._receive_notice
+        )
+        self._dealer.connect(host, int(port))
+        self._connected_at = monotonic()
+        self._resigned = False
+        self._report()
+
+    def _disconnect(self) -> None:
+        if self._dealer is not None:
+            self._dealer.close()
+            self._dealer = None
+
+    def _report(self) -> None:
+        settings, view = self._settings, self._view
+        if self.coordinator is None and self._dealer is None:
+            return
+        report = MemberReport(
+            member=settings.name,
+            address=f"{settings.host}:{settings.peer_port}",
+            epoch=view.epoch,
+            map_version=view.map_version,
+            store_silent_s=self._measure_silence(),
+            leaving=self._leaving,
+            loads=view.take_asked(),
+            in_flight=view.loads.list_in_flight(),
+            slowness=view.loads.take_ratios(),
+            refusing=view.take_refusing(),
+        )
+        if self.coordinator is not None:
+            self.coordinator.receive(report)
+        elif self._dealer is not None:
+            self._dealer.send([encode_packed(report)])
+
+    def _measure_silence(self) -> float:
+        if self._doubted_at is None:
+            return -1.0
+        answered_at = max(self._store_answered_at, self._doubted_at)
+        silence_s = monotonic() - answered_at
+        if answered_at == self._doubted_at and silence_s < self._times.reached_s:
+            # Asked a moment ago; nothing is known yet.
+            return -1.0
+        return round(silence_s, 2)
+
+    def _take_doubt(self, doubt: bool) -> None:
+        """Try the store while the coordinator gets no answer from it."""
+        if not doubt:
+            self._doubted_at = None
+        elif self._probe is None or self._probe.done():
+            if self._doubted_at is None:
+                self._doubted_at = monotonic()
+            self._probe = create_task(self._try_store())
+
+    async def _try_store(self) -> None:
+        try:
+            await self._platform.store.read(COORDINATOR_TABLE)
+            self.note_store_answer(monotonic())
+        except StoreUnavailableError as error:
+            write_event("store_tried", error=str(error))
+        await sleep(self._times.report_s)
+
+    def _receive_report(self, frames: list[bytes]) -> None:
+        try:
+            report = decode_packed(frames[-1], MemberReport)
+        except MalformedMessageError as error:
+            write_event("report_unreadable", error=str(error))
+            return
+        self._peers[report.member] = frames[0]
+        if self.coordinator is not None:
+            self.coordinator.receive(report)
+
+    def _notify(self, member: str, notice: CoordinatorNotice) -> None:
+        if member == self._settings.name:
+            self._view.apply_notice(notice)
+            return
+        peer = self._peers.get(member)
+        if peer is not None and self._router is not None:
+            self._router.send([peer, encode_packed(notice)])
+
+    def _receive_notice(self, frames: list[bytes]) -> None:
+        try:
+            notice = decode_packed(frames[-1], CoordinatorNotice)
+        except MalformedMessageError as error:
+            write_event("notice_unreadable", error=str(error))
+            return
+        if self._row is None or notice.epoch < self._row.epoch:
+            return
+        if notice.resigned:
+            self._resigned = True
+            return
+        self._heard_at = monotonic()
+        self._take_doubt(notice.doubt)
+        self._view.apply_notice(notice)
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -0,0 +1,212 @@
+"""Grants of keys, their renewals, and until when an upstream may hold keys."""
+
+from asyncio import Task, create_task, sleep
+from time import monotonic
+
+from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.ownermap import KeyRange
+
+from plantaincart_router.direct.interface import GrantCalls, GrantRefusedError
+from plantaincart_router.direct.settings import CoordinationSettings
+from plantaincart_router.exception import ExchangeError
+from plantaincart_router.log import write_event
+
+__all__ = ["Granter"]
+
+# Seconds between looks for grants that are due.
+TICK_S = 0.1
+# Pause in seconds before a call that failed is made again.
+RETRY_PAUSE_S = 0.15
+
+
+class Granter:
+    """
+    Makes grant and release calls, and renews the grants that stand.
+
+    Parameters
+    ----------
+    calls : GrantCalls
+        Calls to upstreams.
+    settings : CoordinationSettings
+        Times.
+
+    Attributes
+    ----------
+    refused : list of KeyRange
+        Standing grants that their upstream refused to renew.
+
+    Notes
+    -----
+    `hold_end` is the latest time at which an upstream may still hold keys by any
+    call made here. Only calls whose bytes may have arrived count for it.
+    """
+
+    def __init__(self, calls: GrantCalls, settings: CoordinationSettings) -> None:
+        self._calls = calls
+        self._settings = settings
+        self._standing: dict[tuple[str, int, int], tuple[UpstreamRecord, KeyRange]] = {}
+        self._due: dict[tuple[str, int, int], float] = {}
+        self._tasks: dict[tuple[str, int, int], Task[None]] = {}
+        self._hold_ends: dict[tuple[str, int], float] = {}
+        self._failures: dict[tuple[str, int], int] = {}
+        self.refused: list[KeyRange] = []
+        self.acts = True
+
+    def __len__(self) -> int:
+        return len(self._standing)
+
+    def hold_end(self, upstream: str, born: int) -> float:
+        """Return the time after which an upstream holds nothing without new calls."""
+        return self._hold_ends.get((upstream, born), 0.0)
+
+    def extend_hold(self, upstream: str, born: int, until: float) -> None:
+        """Note that an upstream may hold keys by the calls of another instance."""
+        known = self._hold_ends.get((upstream, born), 0.0)
+        self._hold_ends[upstream, born] = max(known, until)
+
+    def is_failing(self, upstream: str, born: int) -> bool:
+        """Whether the last calls to an upstream brought no answer."""
+        return self._failures.get((upstream, born), 0) > 1
+
+    def stand(self, service: str, record: UpstreamRecord, keys: KeyRange) -> None:
+        """Renew a grant from now on."""
+        name = (service, keys.first, keys.last)
+        self._standing[name] = (record, keys)
+        self._due[name] = 0.0
+
+    def drop(self, service: str, first: int, last: int) -> None:
+        """Renew no grant that shares keys with a range any more."""
+        for name in [
+            name
+            for name in self._standing
+            if name[0] == service and name[1] <= last and name[2] >= first
+        ]:
+            del self._standing[name]
+            del self._due[name]
+
+    def clear(self) -> None:
+        """Renew nothing any more."""
+        self._standing.clear()
+        self._due.clear()
+        for task in self._tasks.values():
+            task.cancel()
+
+    async def grant(
+        self, record: UpstreamRecord, keys: KeyRange, handover: str = ""
+    ) -> bool:
+        """
+        Grant keys once.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            Upstream to call.
+        keys : KeyRange
+            Keys and their fencing token.
+        handover : str
+            From the last holder; empty for none.
+
+        Returns
+        -------
+        bool
+            Whether the upstream holds the keys.
+
+        Raises
+        ------
+        GrantRefusedError
+            If it refused.
+        """
+        hold_s = self._settings.hold_s
+        who = (record.id, record.born)
+        before = self.hold_end(*who)
+        longest = hold_s * (1.0 + self._settings.clock_drift)
+        margin = self._settings.call_timeout_s + self._settings.hold_margin_s
+        self.extend_hold(*who, monotonic() + longest + margin)
+        try:
+            await self._calls.grant(record, keys, hold_s, handover)
+        except ExchangeError as error:
+            if not error.may_have_started:
+                self._hold_ends[who] = before
+            self._failures[who] = self._failures.get(who, 0) + 1
+            if self._failures[who] in (1, 2):
+                write_event(
+                    "grant_failed",
+                    upstream=record.id,
+                    first=keys.first,
+                    last=keys.last,
+                    fence=keys.fence,
+                    error=str(error),
+                )
+            return False
+        self._failures.pop(who, None)
+        return True
+
+    async def release(self, record: UpstreamRecord, keys: KeyRange) -> str | None:
+        """
+        Take keys back, as often as it takes until they are free.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            Their holder.
+        keys : KeyRange
+            Keys with the fencing token of the next grant.
+
+        Returns
+        -------
+        str or None
+            Handover; None if the holder didn't answer before its hold had ended.
+        """
+        while self.acts:
+            try:
+                return await self._calls.release(record, keys)
+            except ExchangeError as error:
+                write_event(
+                    "release_failed",
+                    upstream=record.id,
+                    first=keys.first,
+                    last=keys.last,
+                    fence=keys.fence,
+                    error=str(error),
+                )
+            if monotonic() >= self.hold_end(record.id, record.born):
+                return None
+            await sleep(RETRY_PAUSE_S)
+        return None
+
+    async def renew(self) -> None:
+        """Renew the standing grants until cancelled."""
+        while True:
+            now = monotonic()
+            if self.acts:
+                for name, due in list(self._due.items()):
+                    if due <= now and name not in self._tasks:
+                        self._start(name, now)
+            await sleep(TICK_S)
+
+    def _start(self, name: tuple[str, int, int], now: float) -> None:
+        self._due[name] = now + self._settings.renew_s
+        record, keys = self._standing[name]
+        task = create_task(self._renew_one(name, record, keys))
+        self._tasks[name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    async def _renew_one(
+        self, name: tuple[str, int, int], record: UpstreamRecord, keys: KeyRange
+    ) -> None:
+        try:
+            held = await self.grant(record, keys)
+        except GrantRefusedError as error:
+            write_event(
+                "renewal_refused",
+                upstream=record.id,
+                first=keys.first,
+                last=keys.last,
+                fence=keys.fence,
+                error=str(error),
+            )
+            if self._standing.get(name, (None, None))[1] == keys:
+                self.refused.append(keys)
+            return
+        if not held and name in self._due:
+            self._due[name] = min(self._due[name], monotonic() + RETRY_PAUSE_S)
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -0,0 +1,446 @@
+"""The coordinator's work on one service: who owns which keys, and moves."""
+
+from asyncio import Task, create_task, gather, sleep
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from time import monotonic
+
+from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.ownermap import KeyRange, OwnerMap
+from plantaincart_core.spread import (
+    KeyMove,
+    Owner,
+    SpreadSettings,
+    divide_keys,
+    plan_moves,
+)
+from plantaincart_schema.generated.direct import OwnershipRange, OwnershipRow
+
+from plantaincart_router.direct.granter import Granter
+from plantaincart_router.direct.interface import GrantRefusedError
+from plantaincart_router.direct.ledger import OwnershipLedger
+from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.store import StoreUnavailableError
+from plantaincart_router.direct.view import SystemView
+from plantaincart_router.log import write_event
+
+__all__ = ["ServicePlacement"]
+
+# Part of its capacity that a cold upstream is counted with.
+COLD_CAPACITY_PART = 0.3
+# Pieces into which the keys of a lost owner are divided at most.
+ORPHAN_PIECES = 4
+GRANT_PAUSE_S = 0.1
+# Attempts to grant keys to a new owner before another one is chosen.
+GRANT_ATTEMPTS = 5
+
+
+class ServicePlacement:
+    """
+    Decide on owners, write the decision down, and carry it out.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    settings : DirectSettings
+        Settings of the instance.
+    view : SystemView
+        What is known of the system.
+    granter : Granter
+        Calls to upstreams.
+    ledger : OwnershipLedger
+        Keeps the decisions in the store.
+
+    Notes
+    -----
+    A decision is written before anything is granted by it, so that a later
+    coordinator knows every upstream that may hold a key. While keys move, nobody
+    owns them as far as other instances are told.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        settings: DirectSettings,
+        view: SystemView,
+        granter: Granter,
+        ledger: OwnershipLedger,
+    ) -> None:
+        self._service = service
+        self._settings = settings
+        self._view = view
+        self._granter = granter
+        self._ledger = ledger
+        self._moving: list[KeyRange] = []
+        self._previous: dict[tuple[int, int], tuple[str, int]] = {}
+        self._failed: set[KeyRange] = set()
+        self._tasks: set[Task[None]] = set()
+        self._records: dict[tuple[str, int], UpstreamRecord] = {}
+        self.owners = OwnerMap()
+        self.loads: dict[int, float] = {}
+        self._request_load = 0.1
+        self._balanced_at = 0.0
+
+    def resume(self, row: OwnershipRow) -> None:
+        """
+        Take over the decisions of an earlier coordinator.
+
+        Parameters
+        ----------
+        row : OwnershipRow
+            What it wrote last.
+        """
+        self.owners = OwnerMap(
+            KeyRange(
+                first=one.first,
+                last=one.last,
+                owner=one.owner,
+                born=one.born,
+                fence=one.fence,
+            )
+            for one in row.ranges
+        )
+        for one in row.ranges:
+            if one.previous:
+                self._previous[one.first, one.last] = (one.previous, one.previous_born)
+        self._remember()
+
+    def start_resumed(self) -> None:
+        """Renew the grants taken over, and finish the moves under way."""
+        for keys in list(self.owners):
+            previous = self._previous.pop((keys.first, keys.last), None)
+            record = self._find_record(keys.owner, keys.born)
+            if previous is not None:
+                self._spawn(
+                    self._finish(
+                        keys, [replace(keys, owner=previous[0], born=previous[1])]
+                    )
+                )
+            elif record is not None and self._view.can_hold(record):
+                self._granter.stand(self._service, record, keys)
+
+    def describe(self) -> list[KeyRange]:
+        """Return the map as other instances should see it."""
+        shown = OwnerMap(self.owners)
+        for keys in self._moving:
+            shown.assign(KeyRange(first=keys.first, last=keys.last))
+        return list(shown)
+
+    def describe_row(self, epoch: int, sequence: int) -> OwnershipRow:
+        """Return the row that keeps the decisions."""
+        ranges = []
+        for keys in self.owners:
+            previous = self._find_previous(keys)
+            ranges.append(
+                OwnershipRange(
+                    first=keys.first,
+                    last=keys.last,
+                    owner=keys.owner,
+                    born=keys.born,
+                    fence=keys.fence,
+                    previous=previous[0],
+                    previous_born=previous[1],
+                )
+            )
+        return OwnershipRow(
+            service=self._service, epoch=epoch, sequence=sequence, ranges=ranges
+        )
+
+    def add_load(
+        self, keys: Iterable[int], work_s: Iterable[float], span_s: float
+    ) -> None:
+        """Add work that was asked within a span of time to the mean loads."""
+        weight = 1.0 / self._settings.coordination.load_memory_s
+        for key, work in zip(keys, work_s, strict=True):
+            self.loads[key] = self.loads.get(key, 0.0) + work * weight
+            self._request_load += 0.02 * (work * weight - self._request_load)
+
+    def decay_load(self, factor: float) -> None:
+        """Let what was asked earlier count less."""
+        self.loads = {
+            key: load * factor
+            for key, load in self.loads.items()
+            if load * factor > 1e-4
+        }
+
+    async def step(self) -> None:
+        """Give keys without a usable owner to others, and balance the load."""
+        self._remember()
+        owners = self._list_owners()
+        if not any(owner.receives for owner in owners.values()):
+            return
+        moves = self._plan_first(owners) or self._plan_orphans(owners)
+        now = monotonic()
+        rebalance_s = self._settings.coordination.rebalance_s
+        if not moves and now - self._balanced_at >= rebalance_s:
+            self._balanced_at = now
+            if not self._moving:
+                moves = self._plan_balance(owners)
+        if moves:
+            await self._carry_out(moves)
+
+    def regrant_refused(self, refused: Iterable[KeyRange]) -> list[KeyMove]:
+        """Plan new grants, with a higher fencing token, for refused ones."""
+        return [
+            KeyMove(
+                first=keys.first, last=keys.last, source=keys.owner, target=keys.owner
+            )
+            for keys in refused
+            if self.owners.find(keys.first) == keys
+        ]
+
+    async def carry_out(self, moves: list[KeyMove]) -> None:
+        """Write moves down and begin with them."""
+        if moves:
+            await self._carry_out(moves)
+
+    def stop(self) -> None:
+        """Give up all moves under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _remember(self) -> None:
+        for record in self._view.directory:
+            if record.service == self._service:
+                self._records[record.id, record.born] = record
+
+    def _find_record(self, upstream: str, born: int) -> UpstreamRecord | None:
+        record = self._view.directory.get(upstream)
+        if record is not None and record.born == born:
+            return record
+        return None
+
+    def _find_previous(self, keys: KeyRange) -> tuple[str, int]:
+        for (first, last), previous in self._previous.items():
+            if first <= keys.last and keys.first <= last:
+                return previous
+        return ("", 0)
+
+    def _list_owners(self) -> dict[str, Owner]:
+        directory = self._view.directory
+        now = monotonic()
+        owners = {}
+        for record in directory:
+            if record.service != self._service:
+                continue
+            working = directory.can_work(record)
+            failing = self._granter.is_failing(record.id, record.born)
+            slowness = max(0.3, self._view.loads.get(record.id).slowness)
+            capacity = record.slots / slowness
+            if directory.warmup_left_s(record.id, now) > 0.0:
+                capacity *= COLD_CAPACITY_PART
+            owners[record.id] = Owner(
+                id=record.id,
+                born=record.born,
+                capacity=capacity if working else 1e-6,
+                receives=working and not failing,
+            )
+        return owners
+
+    def _plan_first(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
+        if any(keys.owner for keys in self.owners) or self._moving:
+            return []
+        receivers = [owner for owner in owners.values() if owner.receives]
+        receivers.sort(key=lambda owner: owner.id)
+        return divide_keys(receivers)
+
+    def _plan_orphans(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
+        """Plan for keys whose owner has gone, is leaving or can't be reached."""
+        moves: list[KeyMove] = []
+        added: dict[str, float] = {}
+        for keys in self.owners:
+            if self._is_moving(keys) or not self._is_orphan(keys):
+                continue
+            for first, last in self._divide(keys):
+                target = self._pick_receiver(owners, added, keys.owner)
+                if target is None:
+                    continue
+                added[target] = added.get(target, 0.0) + self._sum(first, last) + 1e-3
+                moves.append(
+                    KeyMove(first=first, last=last, source=keys.owner, target=target)
+                )
+        return moves
+
+    def _is_orphan(self, keys: KeyRange) -> bool:
+        if keys in self._failed:
+            return True
+        record = self._find_record(keys.owner, keys.born)
+        if record is None or not self._view.directory.can_work(record):
+            return True
+        failing = self._granter.is_failing(record.id, record.born)
+        ended = monotonic() > self._granter.hold_end(record.id, record.born)
+        return failing and ended
+
+    def _divide(self, keys: KeyRange) -> list[tuple[int, int]]:
+        loaded = sorted(key for key in self.loads if keys.first <= key <= keys.last)
+        pieces = min(ORPHAN_PIECES, max(1, len(loaded)))
+        if pieces == 1:
+            return [(keys.first, keys.last)]
+        total = sum(self.loads[key] for key in loaded)
+        cuts, held = [keys.first], 0.0
+        for key in loaded:
+            held += self.loads[key]
+            if held >= total * len(cuts) / pieces and key < keys.last:
+                cuts.append(key + 1)
+            if len(cuts) == pieces:
+                break
+        ends = [*(cut - 1 for cut in cuts[1:]), keys.last]
+        return list(zip(cuts, ends, strict=True))
+
+    def _sum(self, first: int, last: int) -> float:
+        return sum(load for key, load in self.loads.items() if first <= key <= last)
+
+    def _pick_receiver(
+        self, owners: Mapping[str, Owner], added: Mapping[str, float], source: str
+    ) -> str | None:
+        held: dict[str, float] = dict(added)
+        for keys in self.owners:
+            held[keys.owner] = held.get(keys.owner, 0.0) + 1e-6 * (
+                keys.last - keys.first + 1
+            )
+        for key, load in self.loads.items():
+            owner = self.owners.find(key).owner
+            held[owner] = held.get(owner, 0.0) + load
+        receivers = [
+            owner for owner in owners.values() if owner.receives and owner.id != source
+        ]
+        if not receivers:
+            return None
+        best = min(receivers, key=lambda one: held.get(one.id, 0.0) / one.capacity)
+        return best.id
+
+    def _plan_balance(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
+        settings: SpreadSettings = self._settings.spread
+        return plan_moves(self.owners, self.loads, owners, self._request_load, settings)
+
+    def _is_moving(self, keys: KeyRange) -> bool:
+        return any(
+            one.first <= keys.last and keys.first <= one.last for one in self._moving
+        )
+
+    async def _carry_out(self, moves: list[KeyMove]) -> None:
+        before = list(self.owners)
+        started: list[tuple[KeyRange, list[KeyRange]]] = []
+        for move in moves:
+            record = self._view.directory.get(move.target)
+            if record is None or self._is_moving(
+                KeyRange(first=move.first, last=move.last)
+            ):
+                continue
+            keys = KeyRange(
+                first=move.first,
+                last=move.last,
+                owner=move.target,
+                born=record.born,
+                fence=self._ledger.next_fence(),
+            )
+            held = self.owners.list_within(keys.first, keys.last)
+            self.owners.assign(keys)
+            old = next((one for one in held if one.owner), None)
+            if old is not None:
+                self._previous[keys.first, keys.last] = (old.owner, old.born)
+            started.append((keys, held))
+        if not started:
+            return
+        try:
+            await self._ledger.write(self._service, self.describe_row)
+        except StoreUnavailableError as error:
+            # The write may still happen, so the decision stands; a restart of the
+            # coordinator finds either the old or the new owners, and the old ones
+            # go on holding the keys until the row is known to be written.
+            write_event("moves_not_written", service=self._service, error=str(error))
+            self.owners = OwnerMap(before)
+            for keys, _ in started:
+                self._previous.pop((keys.first, keys.last), None)
+            raise
+        for keys, held in started:
+            self._begin(keys, held)
+        self._failed = {keys for keys in self._failed if keys in set(self.owners)}
+        write_event("keys_moving", service=self._service, moves=len(started))
+
+    def _begin(self, keys: KeyRange, held: list[KeyRange]) -> None:
+        self._granter.drop(self._service, keys.first, keys.last)
+        # What is left of a range that was cut goes on under its own bounds.
+        for one in self.owners:
+            if one.owner and not self._is_moving(one) and one != keys:
+                self._restand(one, keys)
+        self._moving.append(keys)
+        self._ledger.publish(
+            self._service, [KeyRange(first=keys.first, last=keys.last)]
+        )
+        self._spawn(self._finish(keys, held))
+
+    def _restand(self, one: KeyRange, moved: KeyRange) -> None:
+        if one.last + 1 != moved.first and one.first != moved.last + 1:
+            return
+        record = self._find_record(one.owner, one.born)
+        if record is not None:
+            self._granter.stand(self._service, record, one)
+
+    def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish(self, keys: KeyRange, held: list[KeyRange]) -> None:
+        """Free keys at their earlier holders, then grant them to the new one."""
+        if keys not in self._moving:
+            self._moving.append(keys)
+        tokens = await gather(*(self._free(one, keys) for one in held))
+        handover = next((token for token in tokens if token), "")
+        record = self._find_record(keys.owner, keys.born)
+        granted = record is not None and await self._grant(record, keys, handover)
+        self._moving.remove(keys)
+        self._previous.pop((keys.first, keys.last), None)
+        if granted and record is not None:
+            self._granter.stand(self._service, record, keys)
+            self._ledger.publish(self._service, [keys])
+        else:
+            self._failed.add(keys)
+            write_event(
+                "move_failed",
+                service=self._service,
+                first=keys.first,
+                last=keys.last,
+                upstream=keys.owner,
+            )
+
+    async def _free(self, held: KeyRange, keys: KeyRange) -> str:
+        same = (held.owner, held.born) == (keys.owner, keys.born)
+        if not held.owner or same:
+            return ""
+        present = self._view.directory.get(held.owner)
+        if present is not None and present.born > held.born:
+            return ""
+        record = self._records.get((held.owner, held.born))
+        if record is not None:
+            part = replace(keys, first=held.first, last=held.last)
+            token = await self._granter.release(record, part)
+            return token or ""
+        left_s = self._granter.hold_end(held.owner, held.born) - monotonic()
+        if left_s > 0.0:
+            await sleep(left_s)
+        return ""
+
+    async def _grant(
+        self, record: UpstreamRecord, keys: KeyRange, handover: str
+    ) -> bool:
+        for _ in range(GRANT_ATTEMPTS):
+            if not self._granter.acts:
+                return False
+            try:
+                if await self._granter.grant(record, keys, handover):
+                    return True
+            except GrantRefusedError as error:
+                write_event(
+                    "grant_refused",
+                    upstream=record.id,
+                    first=keys.first,
+                    last=keys.last,
+                    fence=keys.fence,
+                    error=str(error),
+                )
+                return False
+            await sleep(GRANT_PAUSE_S)
+        return False
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -0,0 +1,186 @@
+"""Settings of an instance that sends requests straight to upstreams."""
+
+from dataclasses import dataclass, field
+
+from plantaincart_core.spread import SpreadSettings
+from plantaincart_core.upstreamload import LoadSettings
+
+__all__ = [
+    "AdmissionSettings",
+    "BoundSettings",
+    "CoordinationSettings",
+    "DirectSettings",
+    "SendSettings",
+]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoundSettings:
+    """
+    Bounds that operators have agreed with their users.
+
+    Parameters
+    ----------
+    drain_s : float
+        Seconds after which a leaving upstream must get no more requests.
+    evacuate_s : float
+        The same for the upstreams of a data centre taken out of service.
+    shutdown_grace_s : float
+        Seconds between SIGTERM and SIGKILL.
+    retry_ratio, retry_extra : float
+        Repeats allowed for each request, and besides, of all instances together.
+    retry_window_s : float
+        Seconds over which repeats are counted.
+    cold_ratio, cold_extra : float
+        Factor of, and requests above, what a cold upstream bears a second.
+    max_hold_s : float
+        Longest time in seconds for which keys may be granted.
+    """
+
+    drain_s: float = 2.0
+    evacuate_s: float = 5.0
+    shutdown_grace_s: float = 6.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 60.0
+    retry_window_s: float = 10.0
+    cold_ratio: float = 1.5
+    cold_extra: float = 5.0
+    max_hold_s: float = 10.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendSettings:
+    """
+    How requests travel to upstreams.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Seconds that opening a connection may take.
+    fresh_s : float
+        Longest silence in seconds after which a kept connection still carries a
+        request that may run once only.
+    keep_s : float
+        Seconds that an idle connection is kept if the upstream names no time.
+    park_s : float
+        Longest time in seconds that a request waits for keys that change hands.
+    least_left_s : float
+        Time left in seconds below which nothing is sent any more.
+    retry_budget_share : float
+        Part of the retry budget that is used; the rest is for instances that have
+        joined or gone unnoticed.
+    """
+
+    connect_timeout_s: float = 0.3
+    fresh_s: float = 2.0
+    keep_s: float = 8.0
+    park_s: float = 1.5
+    least_left_s: float = 0.02
+    retry_budget_share: float = 0.6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdmissionSettings:
+    """
+    When a request is refused since it would wait too long.
+
+    Parameters
+    ----------
+    wait_shares : tuple of float
+        Longest expected time until the answer, as a part of the route's target, by
+        the route's rank; ranks beyond the last count as the last.
+    least_retry_s, most_retry_s : float
+        Bounds in seconds of what callers are told to wait.
+    """
+
+    wait_shares: tuple[float, ...] = (1.5, 1.2, 1.0)
+    least_retry_s: float = 0.1
+    most_retry_s: float = 2.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CoordinationSettings:
+    """
+    Times of the coordinator and of the instances that follow it.
+
+    Parameters
+    ----------
+    report_s : float
+        Seconds between the reports of an instance.
+    silent_s : float
+        Seconds without a notice after which the coordinator is suspected.
+    beat_s : float
+        Seconds between renewals of the coordinator's row.
+    unchanged_s : float
+        Seconds for which the row must be seen unchanged before a takeover.
+    confirmed_s : float
+        Seconds after its last confirmed renewal for which the coordinator acts.
+    reached_s : float
+        Seconds since the store's last answer for which an instance reaches it.
+    offline_s : float
+        As `confirmed_s`, while all instances report that they don't reach the store.
+    member_s : float
+        Seconds after its last report for which an instance counts as live.
+    hold_s : float
+        Seconds for which keys are granted.
+    renew_s : float
+        Seconds between renewals of a grant.
+    call_timeout_s : float
+        Seconds that a grant may take.
+    release_timeout_s : float
+        Seconds that a release may take; it waits for the work under way.
+    clock_drift : float
+        Part by which an upstream's clock may run slow.
+    hold_margin_s : float
+        Seconds added before keys of an upstream out of reach count as free.
+    rebalance_s : float
+        Seconds between looks at the balance.
+    load_memory_s : float
+        Seconds over which the load of a key is averaged.
+    """
+
+    report_s: float = 0.25
+    silent_s: float = 0.7
+    beat_s: float = 0.5
+    unchanged_s: float = 1.2
+    confirmed_s: float = 3.0
+    reached_s: float = 0.5
+    offline_s: float = 30.0
+    member_s: float = 1.5
+    hold_s: float = 4.0
+    renew_s: float = 1.0
+    call_timeout_s: float = 0.4
+    release_timeout_s: float = 2.5
+    clock_drift: float = 0.02
+    hold_margin_s: float = 0.3
+    rebalance_s: float = 0.4
+    load_memory_s: float = 2.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DirectSettings:
+    """
+    All settings of one instance.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        This instance.
+    host : str
+        IP address of this instance.
+    front_port, ready_port, peer_port : int
+        TCP ports for callers, for the readiness check and for other instances.
+    """
+
+    name: str
+    data_centre: str
+    host: str
+    front_port: int
+    ready_port: int
+    peer_port: int
+    bounds: BoundSettings = field(default_factory=BoundSettings)
+    send: SendSettings = field(default_factory=SendSettings)
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    coordination: CoordinationSettings = field(default_factory=CoordinationSettings)
+    load: LoadSettings = field(default_factory=LoadSettings)
+    spread: SpreadSettings = field(default_factory=SpreadSettings)
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -0,0 +1,267 @@
+"""What an instance believes of the system: plan, upstreams, owners and loads."""
+
+from asyncio import Event
+from time import monotonic
+
+from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
+from plantaincart_core.ownermap import KeyRange, OwnerMap
+from plantaincart_core.traffic import RouteIndex, TrafficPlan
+from plantaincart_core.upstreamload import LoadBook
+from plantaincart_schema.generated.direct import (
+    CoordinatorNotice,
+    KeyLoad,
+    MapChange,
+    RefusedKey,
+)
+
+from plantaincart_router.direct.feed import TableSink
+from plantaincart_router.direct.interface import PlatformReader
+from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.store import TableView
+from plantaincart_router.log import write_event
+
+__all__ = ["SystemView"]
+
+# Keys reported at a time; what is beyond it counts in the next report.
+MAX_REPORTED_KEYS = 512
+
+
+class SystemView(TableSink):
+    """
+    Beliefs of one instance, fed by the store and by the coordinator.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+        Settings of the instance.
+    reader : PlatformReader
+        Reads the rows of operators and upstreams.
+    pools : UpstreamPools
+        Connections that end when their upstream has gone.
+    """
+
+    def __init__(
+        self, settings: DirectSettings, reader: PlatformReader, pools: UpstreamPools
+    ) -> None:
+        self._settings = settings
+        self._reader = reader
+        self._pools = pools
+        self._closed_by_row: dict[str, str] = {}
+        self._leaving_since: dict[str, float] = {}
+        self._asked: dict[str, dict[int, float]] = {}
+        self._refusing: list[RefusedKey] = []
+        self.plan: TrafficPlan | None = None
+        self.routes: RouteIndex | None = None
+        self.directory = UpstreamDirectory()
+        self.upstreams_known = False
+        self.owners: dict[str, OwnerMap] = {}
+        self.map_version = -1
+        self.epoch = 0
+        self.members = 1
+        self.loads = LoadBook(settings.load)
+        self._changed = Event()
+
+    def replace_table(self, table: str, view: TableView) -> None:
+        """Take over a full read of a table."""
+        if table == self._reader.upstream_table:
+            records = [self._reader.read_upstream(row) for row in view.rows]
+            known = {one.id: one for one in self.directory}
+            now = monotonic()
+            self.directory.replace_all([one for one in records if one], now)
+            self._note_leaving(known)
+            self.upstreams_known = True
+            write_event("upstreams_read", count=len(self.directory))
+        else:
+            self._closed_by_row.clear()
+            self.change_table(table, view)
+        self._announce()
+
+    def change_table(self, table: str, view: TableView) -> None:
+        """Take over changes of a table."""
+        if table == self._reader.upstream_table:
+            self._change_upstreams(view)
+        else:
+            self._change_operator_rows(view)
+        self._announce()
+
+    def lose_store(self) -> None:
+        """Keep what is known while the store doesn't answer."""
+        self.directory.note_outage()
+
+    def regain_store(self) -> None:
+        """Wait for announcements that lapsed meanwhile."""
+        self.directory.note_return(monotonic())
+
+    def expire(self) -> None:
+        """Take out upstreams that are still missing after an outage."""
+        for record in self.directory.expire(monotonic()):
+            self._forget(record)
+
+    def apply_notice(self, notice: CoordinatorNotice) -> bool:
+        """
+        Take over what the coordinator says.
+
+        Parameters
+        ----------
+        notice : CoordinatorNotice
+            Its message.
+
+        Returns
+        -------
+        bool
+            False if the notice is older than what is known.
+        """
+        if notice.epoch < self.epoch:
+            return False
+        if notice.epoch > self.epoch and not notice.complete:
+            return False
+        self.epoch = notice.epoch
+        self.members = max(1, notice.members)
+        if notice.complete:
+            self.owners = {}
+        self._apply_changes(notice.changes)
+        if notice.complete or notice.changes:
+            self.map_version = notice.map_version
+            self._announce()
+        self._apply_loads(notice)
+        return True
+
+    def find_owner(self, service: str, key: int) -> KeyRange | None:
+        """Return the range of a key, or None before any map is known."""
+        owners = self.owners.get(service)
+        return None if owners is None else owners.find(key)
+
+    def can_hold(self, record: UpstreamRecord) -> bool:
+        """Whether an owner may still be sent requests for its keys."""
+        if self.directory.can_work(record):
+            return True
+        bounds = self._settings.bounds
+        bound_s = bounds.evacuate_s if record.ready else bounds.drain_s
+        since = self._leaving_since.get(record.id, 0.0)
+        # The bound runs from the store's acknowledgement, which came a little sooner.
+        return monotonic() - since < bound_s * 0.6
+
+    async def wait_for_change(self) -> None:
+        """Wait until the map or the upstreams change."""
+        await self._changed.wait()
+
+    def record_asked(self, service: str, key: int, work_s: float) -> None:
+        """Count work that was asked for a key."""
+        keys = self._asked.setdefault(service, {})
+        if key in keys or len(keys) < MAX_REPORTED_KEYS:
+            keys[key] = keys.get(key, 0.0) + work_s
+
+    def record_refusing(self, service: str, key: int, owner: str, fence: int) -> None:
+        """Note that an owner says it doesn't hold a key."""
+        self._refusing.append(
+            RefusedKey(service=service, key=key, owner=owner, fence=fence)
+        )
+
+    def take_asked(self) -> list[KeyLoad]:
+        """Return the work asked since the last call."""
+        asked, self._asked = self._asked, {}
+        return [
+            KeyLoad(
+                service=service,
+                keys=list(keys),
+                work_ms=[round(work * 1000.0) for work in keys.values()],
+            )
+            for service, keys in asked.items()
+        ]
+
+    def take_refusing(self) -> list[RefusedKey]:
+        """Return what owners refused since the last call."""
+        refusing, self._refusing = self._refusing, []
+        return refusing
+
+    def _change_upstreams(self, view: TableView) -> None:
+        known = {one.id: one for one in self.directory}
+        now = monotonic()
+        for row in view.rows:
+            record = None if row.deleted else self._reader.read_upstream(row)
+            if record is not None:
+                self.directory.put(record, now)
+                self._log_upstream(known.get(record.id), record)
+            else:
+                self.directory.remove(row.key, now)
+        self._note_leaving(known)
+
+    def _note_leaving(self, known: dict[str, UpstreamRecord]) -> None:
+        now = monotonic()
+        for record in self.directory:
+            if self.directory.can_work(record):
+                self._leaving_since.pop(record.id, None)
+            else:
+                self._leaving_since.setdefault(record.id, now)
+        for record in known.values():
+            present = self.directory.get(record.id)
+            if present is None or present.born != record.born:
+                self._forget(record)
+
+    def _forget(self, record: UpstreamRecord) -> None:
+        write_event("upstream_gone", upstream=record.id, born=record.born)
+        self._pools.drop(record)
+        if self.directory.get(record.id) is None:
+            self.loads.forget(record.id)
+            self._leaving_since.pop(record.id, None)
+
+    def _log_upstream(self, old: UpstreamRecord | None, new: UpstreamRecord) -> None:
+        if old is None or (old.born, old.ready) != (new.born, new.ready):
+            write_event(
+                "upstream_changed",
+                upstream=new.id,
+                born=new.born,
+                service=new.service,
+                data_centre=new.data_centre,
+                ready=new.ready,
+                warmup_left_s=new.warmup_left_s,
+            )
+
+    def _change_operator_rows(self, view: TableView) -> None:
+        for row in view.rows:
+            if row.deleted:
+                self._closed_by_row.pop(row.key, None)
+                continue
+            closed = self._reader.read_closed_data_centre(row)
+            if closed is not None:
+                self._closed_by_row[row.key] = closed
+            else:
+                self._adopt_plan(self._reader.read_plan(row))
+        closed_now = frozenset(self._closed_by_row.values())
+        if closed_now != self.directory.closed_data_centres:
+            write_event("data_centres_closed", names=sorted(closed_now))
+            self.directory.closed_data_centres = closed_now
+            self._note_leaving({})
+
+    def _adopt_plan(self, plan: TrafficPlan | None) -> None:
+        if plan is None or (self.plan and plan.version <= self.plan.version):
+            return
+        self.plan = plan
+        self.routes = RouteIndex(plan)
+        write_event("plan_adopted", version=plan.version, routes=len(plan.routes))
+
+    def _apply_changes(self, changes: list[MapChange]) -> None:
+        for change in changes:
+            owners = self.owners.setdefault(change.service, OwnerMap())
+            owners.assign(
+                KeyRange(
+                    first=change.first,
+                    last=change.last,
+                    owner=change.owner,
+                    born=change.born,
+                    fence=change.fence,
+                )
+            )
+
+    def _apply_loads(self, notice: CoordinatorNotice) -> None:
+        now = monotonic()
+        for upstream, total in notice.in_flight.items():
+            load = self.loads.get(upstream)
+            load.set_others(total - load.in_flight, now)
+        for upstream, slowness in notice.slowness.items():
+            self.loads.get(upstream).slowness = slowness
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = Event()
--- a/packages/router/plantaincart_router/http/codec.py
+++ b/packages/router/plantaincart_router/http/codec.py
@@ -42,6 +42,8 @@
     ----------
     address : str
         Other end, for Host and for messages.
+    accepts_unframed : bool
+        Whether an answer without a length is whole when the other end closes.
 
     Attributes
     ----------
@@ -49,9 +51,11 @@
         Whether another request may follow the answer read last.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, accepts_unframed: bool = False) -> None:
         self._address = address
+        self._accepts_unframed = accepts_unframed
         self._method = ""
+        self._sent_head: Request | None = None
         self.reset()
 
     def reset(self) -> None:
@@ -88,6 +92,7 @@
                 target=request.target,
                 headers=frame_request(request, self._address),
             )
+            self._sent_head = head
             parts = [self._http.send(head)]
             if request.body:
                 parts.append(self._http.send(Data(data=request.body)))
@@ -125,6 +130,51 @@
         except RemoteProtocolError as error:
             raise AnswerMalformedError(f"{self._address}: {error}") from error
 
+    def read_end(self) -> HttpAnswer | None:
+        """
+        Read the end of the connection.
+
+        Returns
+        -------
+        HttpAnswer or None
+            An answer that was delimited by the end, or None.
+        """
+        if not self._accepts_unframed or self._head is None:
+            return None
+        try:
+            self._http.receive_data(b"")
+            return self._read_events()
+        except RemoteProtocolError:
+            return None
+
+    def skip_answer(self) -> HttpAnswer | None:
+        """
+        Leave out an answer that belongs to no request, and read on.
+
+        Returns
+        -------
+        HttpAnswer or None
+            The next whole answer if it has arrived as well.
+
+        Raises
+        ------
+        AnswerLostError
+            If no further answer can come on the connection.
+        AnswerMalformedError
+            If what follows isn't an answer.
+        """
+        head, rest = self._sent_head, self._http.trailing_data
+        if head is None or rest[1] or self._http.their_state is not DONE:
+            raise AnswerLostError(f"{self._address}: answer to another request")
+        self.reset()
+        # The library takes a second answer only after a second request, so it is
+        # told of one whose bytes aren't sent. The body's length is of no interest.
+        named = [(name, value) for name, value in head.headers]
+        plain = [pair for pair in named if pair[0] != b"content-length"]
+        self._http.send(Request(method=head.method, target=head.target, headers=plain))
+        self._http.send(EndOfMessage())
+        return self.read(rest[0]) if rest[0] else None
+
     def _read_events(self) -> HttpAnswer | None:
         while True:
             event = self._http.next_event()
@@ -140,7 +190,9 @@
                 return self._finish(cast(Response, self._head))
 
     def _check_framing(self, head: Response) -> None:
-        if self._method == "HEAD" or head.status_code in BODILESS_STATUSES:
+        if self._accepts_unframed or self._method == "HEAD":
+            return
+        if head.status_code in BODILESS_STATUSES:
             return
         if not any(
             name in (b"content-length", b"transfer-encoding")
@@ -165,6 +217,9 @@
         self._head, self._body, self._body_bytes = None, [], 0
         states = (self._http.our_state, self._http.their_state)
         self.reusable = states == (DONE, DONE) and not self._http.trailing_data[0]
+        return answer
+
+    def start_next(self) -> None:
+        """Make ready for the next request, after an answer that was taken."""
         if self.reusable:
             self._http.start_next_cycle()
-        return answer
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -9,6 +9,19 @@
     timeout,
 )
 from collections.abc import Callable
+from socket import (
+    AF_INET,
+    AF_INET6,
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    socket,
+)
 from typing import Self, cast
 
 from plantaincart_router.exception import (
@@ -23,6 +36,12 @@
 
 __all__ = ["HttpConnection"]
 
+# A connection that something on the way has forgotten is noticed after
+# KEEPALIVE_IDLE_S + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_S seconds of silence.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+
 
 class HttpConnection(Protocol):
     """
@@ -46,17 +65,20 @@
     what the socket's buffer can't hold follows later.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, accepts_unframed: bool = False) -> None:
         self._address = address
         self._loop = get_running_loop()
         self._transport: Transport | None = None
-        self._codec = ClientCodec(address)
+        self._codec = ClientCodec(address, accepts_unframed)
+        self._belongs: Callable[[HttpAnswer], bool] | None = None
         self._waiter: Future[HttpAnswer] | None = None
         self._closed = False
         self.last_answer_at = 0.0
 
     @classmethod
-    async def open(cls, host: str, port: int, timeout_s: float) -> Self:
+    async def open(
+        cls, host: str, port: int, timeout_s: float, accepts_unframed: bool = False
+    ) -> Self:
         """
         Open a connection.
 
@@ -68,6 +90,9 @@
             TCP port.
         timeout_s : float
             Seconds that opening may take.
+        accepts_unframed : bool
+            Whether an answer without a length is whole when the other end closes
+            the connection in order.
 
         Returns
         -------
@@ -83,8 +108,14 @@
         loop = get_running_loop()
         try:
             async with timeout(timeout_s):
+                connected = _make_socket(host)
+                try:
+                    await loop.sock_connect(connected, (host, port))
+                except BaseException:
+                    connected.close()
+                    raise
                 _, connection = await loop.create_connection(
-                    lambda: cls(address), host, port
+                    lambda: cls(address, accepts_unframed), sock=connected
                 )
                 return connection
         except TimeoutError:
@@ -107,6 +138,7 @@
         request: HttpRequest,
         timeout_s: float,
         before_write: Callable[[], None] | None = None,
+        belongs: Callable[[HttpAnswer], bool] | None = None,
     ) -> HttpAnswer:
         """
         Send a request and wait for its whole answer.
@@ -120,6 +152,9 @@
         before_write : callable, optional
             Called directly before the bytes are written. When it raises,
             nothing has been sent and the connection stays usable.
+        belongs : callable, optional
+            Says whether an answer belongs to the request. One that doesn't is left
+            out, and the next one is waited for.
 
         Returns
         -------
@@ -155,6 +190,7 @@
             raise
         try:
             transport.write(data)
+            self._belongs = belongs
             self._waiter = waiter
             return await waiter
         except (OSError, RuntimeError) as error:
@@ -184,6 +220,11 @@
 
     def eof_received(self) -> bool:
         """Let the transport close; what is missing now can't arrive."""
+        self._closed = True
+        if self._waiter is not None and not self._waiter.done():
+            answer = self._codec.read_end()
+            if answer is not None and (self._belongs is None or self._belongs(answer)):
+                self._waiter.set_result(answer)
         self._end(AnswerLostError(f"{self._address}: connection ended"))
         return False
 
@@ -194,6 +235,8 @@
             return
         try:
             answer = self._codec.read(data)
+            while answer is not None and self._belongs and not self._belongs(answer):
+                answer = self._codec.skip_answer()
         except ExchangeError as error:
             self._end(error)
             self.close()
@@ -202,7 +245,9 @@
             return
         waiter, self._waiter = self._waiter, None
         self.last_answer_at = self._loop.time()
-        if not self._codec.reusable:
+        if self._codec.reusable:
+            self._codec.start_next()
+        else:
             self.close()
         waiter.set_result(answer)
 
@@ -224,3 +269,14 @@
         self._closed = True
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
+
+
+def _make_socket(host: str) -> socket:
+    made = socket(AF_INET6 if ":" in host else AF_INET, SOCK_STREAM)
+    made.setblocking(False)
+    made.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    made.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    made.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    made.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    made.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
+    return made
--- a/packages/router/plantaincart_router/log.py
+++ b/packages/router/plantaincart_router/log.py
@@ -15,6 +15,7 @@
 from plantaincart_router.event import LogEvent, format_line, parse_line
 
 __all__ = [
+    "STANDARD_OUTPUT_PATH",
     "LogEvent",
     "format_line",
     "parse_line",
@@ -25,7 +26,9 @@
 ]
 
 MAX_VALUE_CHARS = 1024
+STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
+STANDARD_OUTPUT_PATH = "-"
 _ELIOT_FIELDS = ("task_uuid", "task_level", "timestamp", "message_type")
 
 
@@ -63,8 +66,8 @@
         self._write(str(message.get("message_type", "unnamed")), fields)
 
     def close(self) -> None:
-        """Close the file, unless it is standard error."""
-        if self._descriptor != STANDARD_ERROR:
+        """Close the file, unless it is a standard stream."""
+        if self._descriptor not in (STANDARD_OUTPUT, STANDARD_ERROR):
             close(self._descriptor)
 
     def _write(self, event: str, fields: Mapping[str, object]) -> None:
@@ -112,7 +115,9 @@
     global _writer, _request_events
     stop_log()
     descriptor = STANDARD_ERROR
-    if settings.path:
+    if settings.path == STANDARD_OUTPUT_PATH:
+        descriptor = STANDARD_OUTPUT
+    elif settings.path:
         descriptor = open_file(settings.path, O_WRONLY | O_CREAT | O_APPEND, 0o644)
     _writer = _LineWriter(descriptor, instance, incarnation, clock)
     _request_events = settings.request_events
