Divide keys once upstreams have settled, and feed owners that have too few

Cause: the first upstream to announce itself got all keys, and an owner without load drew nothing since nobody stood out above the mean. Change: the first division waits until no upstream has joined for a second; an owner without keys gets half of the widest range; a lack of load counts as well as an excess.

--- a/packages/core/plantaincart_core/spread.py
+++ b/packages/core/plantaincart_core/spread.py
@@ -64,13 +64,17 @@
     ----------
     tolerance : float
         Part of the mean utilisation by which an owner may exceed it.
+    hunger : float
+        Part of its fair load that an owner must lack to be given keys although
+        nobody else has too much.
     significance : float
-        Standard errors by which the excess must stand out from chance.
+        Standard errors by which a difference must stand out from chance.
     max_moves : int
         Moves planned at a time.
     """
 
     tolerance: float = 0.3
+    hunger: float = 0.6
     significance: float = 2.0
     max_moves: int = 16
 
@@ -201,15 +205,15 @@
     if not donors or not receivers:
         return None
     donor = max(donors, key=plan.utilisation)
-    fair = plan.mean * plan.owners[donor].capacity
-    excess = plan.by_owner[donor] - fair
-    error = sqrt(max(fair, request_load) * request_load)
-    if excess < max(settings.tolerance * fair, settings.significance * error):
-        return None
     target = min(receivers, key=plan.utilisation)
+    excess = plan.by_owner[donor] - plan.mean * plan.owners[donor].capacity
     room = plan.mean * plan.owners[target].capacity - plan.by_owner[target]
-    amount = min(excess, room)
-    run = _find_run(plan, donor, amount) if target != donor else None
+    if not (
+        _stands_out(plan, donor, excess, request_load, settings.tolerance, settings)
+        or _stands_out(plan, target, room, request_load, settings.hunger, settings)
+    ):
+        return None
+    run = _find_run(plan, donor, target, excess, room) if target != donor else None
     if run is None:
         stuck.add(donor)
         return _plan_move(plan, request_load, settings, stuck)
@@ -218,10 +222,29 @@
     return KeyMove(first=first, last=last, source=donor, target=target)
 
 
-def _find_run(plan: _Plan, donor: str, amount: float) -> tuple[int, int] | None:
-    """Find the shortest run of keys whose load comes near to an amount."""
+def _stands_out(
+    plan: _Plan,
+    owner: str,
+    difference: float,
+    request_load: float,
+    tolerance: float,
+    settings: SpreadSettings,
+) -> bool:
+    """Say whether a difference from the fair load is large and no chance."""
+    fair = plan.mean * plan.owners[owner].capacity
+    error = sqrt(max(fair, request_load) * request_load)
+    return difference >= max(tolerance * fair, settings.significance * error)
+
+
+def _find_run(
+    plan: _Plan, donor: str, target: str, excess: float, room: float
+) -> tuple[int, int] | None:
+    """Find the shortest run of keys whose load comes near to what should move."""
+    amount = min(excess, room)
     if amount <= 0.0:
         return None
+    # One busy key may exceed the amount and still be better off elsewhere.
+    most = max(1.3 * amount, 0.6 * (plan.by_owner[donor] - plan.by_owner[target]))
     keys, loads = plan.keys[donor], plan.loads
     best: tuple[int, int] | None = None
     start, held = 0, 0.0
@@ -232,7 +255,7 @@
         while start < end and held - loads[keys[start]] >= amount:
             held -= loads[keys[start]]
             start += 1
-        near = amount * 0.5 <= held <= amount * 1.3
+        near = amount * 0.5 <= held <= most
         if near and (best is None or key - keys[start] < best[1] - best[0]):
             best = (keys[start], key)
     return best
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -43,8 +43,6 @@
 STEP_S = 0.1
 # Loads are sent with every so many notices to a member.
 SLOWNESS_EVERY = 4
-# Seconds for which the upstreams must be known before keys are first divided.
-SETTLE_S = 0.5
 SLOWNESS_WEIGHT = 0.15
 # Seconds between two new grants of keys that their owner says it doesn't hold.
 REGRANT_PAUSE_S = 1.0
@@ -371,8 +369,6 @@
         plan = self._view.plan
         if plan is None or not self._view.upstreams_known:
             return
-        if now - self._started_at < SETTLE_S:
-            return
         refused, self._granter.refused = self._granter.refused, []
         for policy in plan.services.values():
             if not policy.keyed:
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -31,6 +31,8 @@
 # Pieces into which the keys of a lost owner are divided at most.
 ORPHAN_PIECES = 4
 GRANT_PAUSE_S = 0.1
+# Seconds without a new upstream before keys are divided for the first time.
+SETTLE_S = 1.0
 # Attempts to grant keys to a new owner before another one is chosen.
 GRANT_ATTEMPTS = 5
 
@@ -81,6 +83,8 @@
         self.loads: dict[int, float] = {}
         self._request_load = 0.1
         self._balanced_at = 0.0
+        self._first_count = 0
+        self._first_changed_at = monotonic()
 
     def resume(self, row: OwnershipRow) -> None:
         """
@@ -176,7 +180,7 @@
         if not moves and now - self._balanced_at >= rebalance_s:
             self._balanced_at = now
             if not self._moving:
-                moves = self._plan_balance(owners)
+                moves = self._plan_empty(owners) or self._plan_balance(owners)
         if moves:
             await self._carry_out(moves)
 
@@ -243,8 +247,36 @@
             return []
         receivers = [owner for owner in owners.values() if owner.receives]
         receivers.sort(key=lambda owner: owner.id)
+        now = monotonic()
+        if self._first_count != len(receivers):
+            self._first_count = len(receivers)
+            self._first_changed_at = now
+        if now - self._first_changed_at < SETTLE_S:
+            return []
         return divide_keys(receivers)
 
+    def _plan_empty(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
+        """Give an owner without keys half of the widest range."""
+        if self._moving:
+            return []
+        held = {keys.owner for keys in self.owners}
+        for owner in owners.values():
+            if not owner.receives or owner.id in held:
+                continue
+            widest = max(self.owners, key=lambda keys: keys.last - keys.first)
+            middle = (widest.first + widest.last + 1) // 2
+            if widest.last <= widest.first or not widest.owner:
+                return []
+            return [
+                KeyMove(
+                    first=middle,
+                    last=widest.last,
+                    source=widest.owner,
+                    target=owner.id,
+                )
+            ]
+        return []
+
     def _plan_orphans(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
         """Plan for keys whose owner has gone, is leaving or can't be reached."""
         moves: list[KeyMove] = []
