Renew grants on known connections only, join small ranges, share cold bounds by rank

Change: a renewal that needs a new connection becomes a grant with a new token; small ranges join a neighbour; lost owners' keys are planned in one pass; cold upstreams have a few instances each that may send to them.

--- a/packages/core/plantaincart_core/spread.py
+++ b/packages/core/plantaincart_core/spread.py
@@ -8,7 +8,14 @@
 
 from plantaincart_core.ownermap import KEYS, KeyRange, OwnerMap
 
-__all__ = ["KeyMove", "Owner", "SpreadSettings", "divide_keys", "plan_moves"]
+__all__ = [
+    "KeyMove",
+    "Owner",
+    "SpreadSettings",
+    "divide_keys",
+    "plan_joins",
+    "plan_moves",
+]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,12 +78,21 @@
         Standard errors by which a difference must stand out from chance.
     max_moves : int
         Moves planned at a time.
+    ranges_per_owner : int
+        Ranges for each owner above which small ones are joined to a neighbour.
+    island_share : float
+        Part of an owner's fair load up to which a range is joined to a neighbour.
+    max_joins : int
+        Ranges joined to a neighbour at a time.
     """
 
     tolerance: float = 0.3
     hunger: float = 0.6
     significance: float = 2.0
     max_moves: int = 16
+    ranges_per_owner: int = 3
+    island_share: float = 0.15
+    max_joins: int = 6
 
 
 def divide_keys(owners: Sequence[Owner]) -> list[KeyMove]:
@@ -157,6 +173,74 @@
     return moves
 
 
+def plan_joins(
+    owner_map: OwnerMap,
+    loads: Mapping[int, float],
+    owners: Mapping[str, Owner],
+    settings: SpreadSettings,
+) -> list[KeyMove]:
+    """
+    Plan to give small ranges to the owner of a neighbouring range.
+
+    Parameters
+    ----------
+    owner_map : OwnerMap
+        Present owners.
+    loads : mapping of int to float
+        Requests at a time that each key keeps busy.
+    owners : mapping of str to Owner
+        Upstreams by identity.
+    settings : SpreadSettings
+        Ranges that are borne, and which are small.
+
+    Returns
+    -------
+    list of KeyMove
+        Empty while there are few ranges; no two of neighbouring ranges.
+
+    Notes
+    -----
+    Every range costs a renewal a second, and a place in the row that keeps the map.
+    Those with the fewest keys go first, since moved keys lose what their owner had
+    prepared for them.
+    """
+    ranges = list(owner_map)
+    if len(ranges) <= settings.ranges_per_owner * max(1, len(owners)):
+        return []
+    sums = [0.0] * len(ranges)
+    firsts = [one.first for one in ranges]
+    for key, load in loads.items():
+        sums[bisect_right(firsts, key) - 1] += load
+    capacity = sum(owner.capacity for owner in owners.values())
+    fair = sum(loads.values()) / max(1, len(owners)) if capacity > 0.0 else 0.0
+    widest = KEYS // (2 * max(1, len(owners)))
+    order = sorted(range(1, len(ranges)), key=lambda at: _count_keys(ranges[at]))
+    moves: list[KeyMove] = []
+    taken: set[int] = set()
+    for at in order:
+        one, before = ranges[at], ranges[at - 1]
+        target = owners.get(before.owner)
+        if len(moves) >= settings.max_joins or _count_keys(one) > widest:
+            break
+        if taken & {at - 1, at, at + 1} or sums[at] > settings.island_share * fair:
+            continue
+        if not one.owner or target is None or not target.receives:
+            continue
+        if one.owner == before.owner:
+            continue
+        taken.add(at)
+        moves.append(
+            KeyMove(
+                first=one.first, last=one.last, source=one.owner, target=before.owner
+            )
+        )
+    return moves
+
+
+def _count_keys(keys: KeyRange) -> int:
+    return keys.last - keys.first + 1
+
+
 class _Plan:
     """Loads of the owners and of their keys while moves are planned."""
 
--- a/packages/router/plantaincart_router/direct/cold.py
+++ b/packages/router/plantaincart_router/direct/cold.py
@@ -1,14 +1,18 @@
 """Bound on the requests that one instance sends to a cold upstream."""
 
 from collections import deque
+from zlib import crc32
 
 from plantaincart_router.direct.settings import BoundSettings
 
 __all__ = ["ColdGate"]
 
-WINDOW_S = 1.0
-# Part of the bound that is used; the rest is for requests that arrive bunched.
-USED_PART = 0.7
+# A little more than the second over which requests are counted, since those sent a
+# second apart may arrive closer together.
+WINDOW_S = 1.1
+# Part of the bound that is used; the rest is for instances that just joined.
+USED_PART = 0.8
+KEPT_TIMES = 64
 
 
 class ColdGate:
@@ -22,18 +26,23 @@
 
     Notes
     -----
-    Where the bound gives an instance less than one request a second, a request is
-    let through as often as the share says.
+    Each instance gets a whole number of requests a second. Where there are more
+    instances than requests, each upstream has a few instances that may send to it.
+    A key has one owner, so requests with a key can't go elsewhere: every instance
+    may send one a second, and the coordinator sees to it that a cold owner has few
+    keys.
 
     Examples
     --------
     >>> gate = ColdGate(BoundSettings(cold_ratio=1.0, cold_extra=0.0))
-    >>> gate.has_room("u1", 10.0, 2, now=0.0)
+    >>> gate.has_room("u1", 10.0, instances=2, rank=0, keyed=False, now=0.0)
     True
-    >>> for _ in range(3):
+    >>> for _ in range(4):
     ...     gate.record("u1", now=0.0)
-    >>> gate.has_room("u1", 10.0, 2, now=0.5), gate.has_room("u1", 10.0, 2, now=1.5)
-    (False, True)
+    >>> gate.has_room("u1", 10.0, instances=2, rank=0, keyed=False, now=0.5)
+    False
+    >>> gate.has_room("u1", 10.0, instances=2, rank=0, keyed=False, now=1.5)
+    True
     """
 
     def __init__(self, bounds: BoundSettings) -> None:
@@ -42,10 +51,22 @@
 
     def record(self, upstream: str, now: float) -> None:
         """Count a request."""
-        sent = self._sent.setdefault(upstream, deque(maxlen=64))
+        sent = self._sent.setdefault(upstream, deque(maxlen=KEPT_TIMES))
         sent.append(now)
 
-    def has_room(self, upstream: str, rate: float, instances: int, now: float) -> bool:
+    def forget(self, upstream: str) -> None:
+        """Drop the count of an upstream that has gone."""
+        self._sent.pop(upstream, None)
+
+    def has_room(
+        self,
+        upstream: str,
+        rate: float,
+        instances: int,
+        rank: int | None,
+        keyed: bool,
+        now: float,
+    ) -> bool:
         """
         Say whether a cold upstream may get another request.
 
@@ -57,6 +78,10 @@
             Requests a second that it bears.
         instances : int
             Instances that share the bound.
+        rank : int or None
+            Place of this instance among them; None if that isn't known.
+        keyed : bool
+            Whether the request can go nowhere else.
         now : float
             Present time in seconds.
 
@@ -65,13 +90,18 @@
         bool
             Whether this instance may send one.
         """
+        allowed = self._share(upstream, rate, instances, rank)
+        if keyed:
+            allowed = max(1, allowed)
+        sent = self._sent.get(upstream, ())
+        return sum(1 for at in sent if now - at < WINDOW_S) < allowed
+
+    def _share(
+        self, upstream: str, rate: float, instances: int, rank: int | None
+    ) -> int:
+        if rank is None:
+            return 0
         bounds = self._bounds
-        total = (rate * bounds.cold_ratio + bounds.cold_extra) * USED_PART
-        share = total / max(1, instances)
-        sent = self._sent.get(upstream)
-        if not sent:
-            return True
-        if share < 1.0:
-            return now - sent[-1] >= WINDOW_S / share
-        recent = sum(1 for at in sent if now - at < WINDOW_S)
-        return recent + 1 <= share
+        total = int((rate * bounds.cold_ratio + bounds.cold_extra) * USED_PART)
+        place = (rank + crc32(upstream.encode())) % instances
+        return total // instances + (1 if place < total % instances else 0)
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -109,7 +109,7 @@
         self._term = term
         self._term_version = version
         self._notify = notify
-        self._granter = Granter(calls, self._times)
+        self._granter = Granter(calls, self._times, settings.bounds.max_hold_s)
         self._placements: dict[str, ServicePlacement] = {}
         self._row_versions: dict[str, int] = {}
         self._write_lock = Lock()
@@ -348,7 +348,7 @@
     def _extend_holds(self, row: OwnershipRow) -> None:
         times = self._times
         until = self._started_at + times.confirmed_s + times.call_timeout_s
-        until += times.hold_s * (1.0 + times.clock_drift) + times.hold_margin_s
+        until += self._granter.hold_s * (1.0 + times.clock_drift) + times.hold_margin_s
         for one in row.ranges:
             self._granter.extend_hold(one.owner, one.born, until)
             if one.previous:
@@ -376,7 +376,7 @@
             placement = self._placements.get(policy.name)
             if placement is None:
                 placement = self._add_placement(policy.name)
-            await placement.carry_out(placement.regrant_refused(refused))
+            placement.regrant(refused)
             await placement.step()
 
     def _decay(self, now: float) -> None:
@@ -437,6 +437,7 @@
             coordinator=self._term.holder,
             epoch=self.epoch,
             members=len(self._members),
+            rank=sorted(self._members).index(name) if member else 0,
             map_version=self._map_version,
             complete=complete and self._resumed,
             resigned=resigned,
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -1,6 +1,6 @@
 """The way of one request: route, upstream, answer."""
 
-from asyncio import current_task, timeout
+from asyncio import current_task, sleep, timeout
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -129,6 +129,8 @@
             The upstream's answer, or a refusal with its verdict.
         """
         started_at = monotonic()
+        # Lets the loop read what has arrived: the caller may have left already.
+        await sleep(0)
         reading = self._dialect.read_request(request)
         self.in_flight += 1
         call: _Call | None = None
@@ -312,7 +314,10 @@
         if left_s <= 0.0:
             return True
         allowed = call.service.cold_requests_per_s
-        return self.cold.has_room(record.id, allowed, self._view.members, now)
+        view = self._view
+        return self.cold.has_room(
+            record.id, allowed, view.members, view.rank, call.service.keyed, now
+        )
 
     def _admit(self, call: _Call, record: UpstreamRecord) -> None:
         """Refuse a request that would wait too long."""
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -29,11 +29,13 @@
         Calls to upstreams.
     settings : CoordinationSettings
         Times.
+    max_hold_s : float
+        Longest time in seconds that upstreams accept.
 
     Attributes
     ----------
     refused : list of KeyRange
-        Standing grants that their upstream refused to renew.
+        Standing grants that weren't renewed; they need a new fencing token.
 
     Notes
     -----
@@ -41,7 +43,9 @@
     call made here. Only calls whose bytes may have arrived count for it.
     """
 
-    def __init__(self, calls: GrantCalls, settings: CoordinationSettings) -> None:
+    def __init__(
+        self, calls: GrantCalls, settings: CoordinationSettings, max_hold_s: float
+    ) -> None:
         self._calls = calls
         self._settings = settings
         self._standing: dict[tuple[str, int, int], tuple[UpstreamRecord, KeyRange]] = {}
@@ -50,6 +54,7 @@
         self._hold_ends: dict[tuple[str, int], float] = {}
         self._failures: dict[tuple[str, int], int] = {}
         self.refused: list[KeyRange] = []
+        self.hold_s = min(settings.hold_s, max_hold_s)
         self.acts = True
 
     def __len__(self) -> int:
@@ -92,7 +97,11 @@
             task.cancel()
 
     async def grant(
-        self, record: UpstreamRecord, keys: KeyRange, handover: str = ""
+        self,
+        record: UpstreamRecord,
+        keys: KeyRange,
+        handover: str = "",
+        renewal: bool = False,
     ) -> bool:
         """
         Grant keys once.
@@ -105,6 +114,8 @@
             Keys and their fencing token.
         handover : str
             From the last holder; empty for none.
+        renewal : bool
+            Whether the upstream is known to hold the keys already.
 
         Returns
         -------
@@ -116,14 +127,14 @@
         GrantRefusedError
             If it refused.
         """
-        hold_s = self._settings.hold_s
+        hold_s = self.hold_s
         who = (record.id, record.born)
         before = self.hold_end(*who)
         longest = hold_s * (1.0 + self._settings.clock_drift)
         margin = self._settings.call_timeout_s + self._settings.hold_margin_s
         self.extend_hold(*who, monotonic() + longest + margin)
         try:
-            await self._calls.grant(record, keys, hold_s, handover)
+            await self._calls.grant(record, keys, hold_s, handover, renewal)
         except ExchangeError as error:
             if not error.may_have_started:
                 self._hold_ends[who] = before
@@ -195,7 +206,7 @@
         self, name: tuple[str, int, int], record: UpstreamRecord, keys: KeyRange
     ) -> None:
         try:
-            held = await self.grant(record, keys)
+            held = await self.grant(record, keys, renewal=True)
         except GrantRefusedError as error:
             write_event(
                 "renewal_refused",
@@ -205,8 +216,6 @@
                 fence=keys.fence,
                 error=str(error),
             )
-            if self._standing.get(name, (None, None))[1] == keys:
-                self.refused.append(keys)
-            return
-        if not held and name in self._due:
-            self._due[name] = min(self._due[name], monotonic() + RETRY_PAUSE_S)
+            held = False
+        if not held and self._standing.get(name, (None, None))[1] == keys:
+            self.refused.append(keys)
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -128,7 +128,12 @@
 
     @abstractmethod
     async def grant(
-        self, upstream: UpstreamRecord, keys: KeyRange, hold_s: float, handover: str
+        self,
+        upstream: UpstreamRecord,
+        keys: KeyRange,
+        hold_s: float,
+        handover: str = "",
+        renewal: bool = False,
     ) -> None:
         """
         Give keys to an upstream for a time; the same call again renews it.
@@ -143,6 +148,10 @@
             Seconds that the upstream holds the keys from the call's arrival.
         handover : str
             What the last holder gave at its release; empty for none.
+        renewal : bool
+            Whether the call must go on a connection that the upstream has answered
+            on. Behind a new one there may be a later process at the same address,
+            and no two processes may get the same fencing token.
 
         Raises
         ------
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -12,6 +12,7 @@
     Owner,
     SpreadSettings,
     divide_keys,
+    plan_joins,
     plan_moves,
 )
 from plantaincart_schema.generated.direct import OwnershipRange, OwnershipRow
@@ -28,6 +29,10 @@
 
 # Part of its capacity that a cold upstream is counted with.
 COLD_CAPACITY_PART = 0.3
+# Load counted for a key that nobody asked for lately.
+IDLE_KEY_LOAD = 1e-6
+# Ranges without a usable owner that are given away in one step.
+MAX_ORPHANS = 100
 # Pieces into which the keys of a lost owner are divided at most.
 ORPHAN_PIECES = 4
 GRANT_PAUSE_S = 0.1
@@ -111,18 +116,19 @@
         self._remember()
 
     def start_resumed(self) -> None:
-        """Renew the grants taken over, and finish the moves under way."""
+        """Grant the keys taken over anew, and finish the moves under way."""
         for keys in list(self.owners):
             previous = self._previous.pop((keys.first, keys.last), None)
-            record = self._find_record(keys.owner, keys.born)
+            if not keys.owner:
+                continue
+            held = []
             if previous is not None:
-                self._spawn(
-                    self._finish(
-                        keys, [replace(keys, owner=previous[0], born=previous[1])]
-                    )
-                )
-            elif record is not None and self._view.can_hold(record):
-                self._granter.stand(self._service, record, keys)
+                held = [replace(keys, owner=previous[0], born=previous[1])]
+            renewed = replace(keys, fence=self._ledger.next_fence())
+            self.owners.assign(renewed)
+            if previous is not None or self._find_record(keys.owner, keys.born):
+                self._moving.append(renewed)
+                self._spawn(self._finish(renewed, held))
 
     def describe(self) -> list[KeyRange]:
         """Return the map as other instances should see it."""
@@ -180,24 +186,50 @@
         if not moves and now - self._balanced_at >= rebalance_s:
             self._balanced_at = now
             if not self._moving:
+                self._join_neighbours()
                 moves = self._plan_empty(owners) or self._plan_balance(owners)
         if moves:
             await self._carry_out(moves)
 
-    def regrant_refused(self, refused: Iterable[KeyRange]) -> list[KeyMove]:
-        """Plan new grants, with a higher fencing token, for refused ones."""
-        return [
-            KeyMove(
-                first=keys.first, last=keys.last, source=keys.owner, target=keys.owner
-            )
-            for keys in refused
-            if self.owners.find(keys.first) == keys
-        ]
+    def regrant(self, refused: Iterable[KeyRange]) -> None:
+        """
+        Grant keys to their owners again, with new fencing tokens.
 
-    async def carry_out(self, moves: list[KeyMove]) -> None:
-        """Write moves down and begin with them."""
-        if moves:
-            await self._carry_out(moves)
+        Parameters
+        ----------
+        refused : iterable of KeyRange
+            Grants that weren't renewed; those that no longer stand are left out.
+
+        Notes
+        -----
+        Nothing is written: the next coordinator's tokens exceed these by its epoch.
+        """
+        standing = set(self.owners)
+        for keys in set(refused) & standing:
+            if self._is_moving(keys):
+                continue
+            renewed = replace(keys, fence=self._ledger.next_fence())
+            self.owners.assign(renewed)
+            self._granter.drop(self._service, keys.first, keys.last)
+            self._spawn(self._regrant_one(renewed))
+
+    async def _regrant_one(self, keys: KeyRange) -> None:
+        record = self._find_record(keys.owner, keys.born)
+        if record is None:
+            return
+        try:
+            held = await self._granter.grant(record, keys)
+        except GrantRefusedError as error:
+            self._log_refusal(keys, error)
+            held = False
+        if self.owners.find(keys.first) != keys or self._is_moving(keys):
+            return
+        if held:
+            self._granter.stand(self._service, record, keys)
+            self._ledger.publish(self._service, [keys])
+        else:
+            await sleep(GRANT_PAUSE_S)
+            self._granter.refused.append(keys)
 
     def stop(self) -> None:
         """Give up all moves under way."""
@@ -279,21 +311,41 @@
 
     def _plan_orphans(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
         """Plan for keys whose owner has gone, is leaving or can't be reached."""
+        orphans = [
+            keys
+            for keys in self.owners
+            if self._is_orphan(keys) and not self._is_moving(keys)
+        ]
+        receivers = [owner for owner in owners.values() if owner.receives]
+        if not orphans or not receivers:
+            return []
+        held = self._measure_owners()
         moves: list[KeyMove] = []
-        added: dict[str, float] = {}
-        for keys in self.owners:
-            if self._is_moving(keys) or not self._is_orphan(keys):
-                continue
-            for first, last in self._divide(keys):
-                target = self._pick_receiver(owners, added, keys.owner)
-                if target is None:
+        for keys in orphans[:MAX_ORPHANS]:
+            for first, last, load in self._divide(keys):
+                fitting = [one for one in receivers if one.id != keys.owner]
+                if not fitting:
                     continue
-                added[target] = added.get(target, 0.0) + self._sum(first, last) + 1e-3
+                target = min(
+                    fitting, key=lambda one: held.get(one.id, 0.0) / one.capacity
+                )
+                held[target.id] = held.get(target.id, 0.0) + load
                 moves.append(
-                    KeyMove(first=first, last=last, source=keys.owner, target=target)
+                    KeyMove(first=first, last=last, source=keys.owner, target=target.id)
                 )
         return moves
 
+    def _measure_owners(self) -> dict[str, float]:
+        """Sum the load of each owner, with a little for keys without load."""
+        held: dict[str, float] = {}
+        for keys in self.owners:
+            width = keys.last - keys.first + 1
+            held[keys.owner] = held.get(keys.owner, 0.0) + width * IDLE_KEY_LOAD
+        for key, load in self.loads.items():
+            owner = self.owners.find(key).owner
+            held[owner] = held.get(owner, 0.0) + load
+        return held
+
     def _is_orphan(self, keys: KeyRange) -> bool:
         if keys in self._failed:
             return True
@@ -304,47 +356,52 @@
         ended = monotonic() > self._granter.hold_end(record.id, record.born)
         return failing and ended
 
-    def _divide(self, keys: KeyRange) -> list[tuple[int, int]]:
+    def _divide(self, keys: KeyRange) -> list[tuple[int, int, float]]:
+        """Cut keys into pieces of about equal load."""
         loaded = sorted(key for key in self.loads if keys.first <= key <= keys.last)
-        pieces = min(ORPHAN_PIECES, max(1, len(loaded)))
-        if pieces == 1:
-            return [(keys.first, keys.last)]
         total = sum(self.loads[key] for key in loaded)
+        idle = (keys.last - keys.first + 1) * IDLE_KEY_LOAD
+        pieces = min(
+            ORPHAN_PIECES, max(1, round(total / max(self._request_load, 1e-3)))
+        )
         cuts, held = [keys.first], 0.0
         for key in loaded:
             held += self.loads[key]
-            if held >= total * len(cuts) / pieces and key < keys.last:
+            due = len(cuts) < pieces and held >= total * len(cuts) / pieces
+            if due and key < keys.last:
                 cuts.append(key + 1)
-            if len(cuts) == pieces:
-                break
         ends = [*(cut - 1 for cut in cuts[1:]), keys.last]
-        return list(zip(cuts, ends, strict=True))
-
-    def _sum(self, first: int, last: int) -> float:
-        return sum(load for key, load in self.loads.items() if first <= key <= last)
-
-    def _pick_receiver(
-        self, owners: Mapping[str, Owner], added: Mapping[str, float], source: str
-    ) -> str | None:
-        held: dict[str, float] = dict(added)
-        for keys in self.owners:
-            held[keys.owner] = held.get(keys.owner, 0.0) + 1e-6 * (
-                keys.last - keys.first + 1
-            )
-        for key, load in self.loads.items():
-            owner = self.owners.find(key).owner
-            held[owner] = held.get(owner, 0.0) + load
-        receivers = [
-            owner for owner in owners.values() if owner.receives and owner.id != source
-        ]
-        if not receivers:
-            return None
-        best = min(receivers, key=lambda one: held.get(one.id, 0.0) / one.capacity)
-        return best.id
+        load = (total + idle) / len(cuts)
+        return [(first, last, load) for first, last in zip(cuts, ends, strict=True)]
 
     def _plan_balance(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
         settings: SpreadSettings = self._settings.spread
-        return plan_moves(self.owners, self.loads, owners, self._request_load, settings)
+        moves = plan_moves(
+            self.owners, self.loads, owners, self._request_load, settings
+        )
+        return moves or plan_joins(self.owners, self.loads, owners, settings)
+
+    def _join_neighbours(self) -> None:
+        """Give neighbouring ranges of one owner a common fencing token."""
+        ranges = list(self.owners)
+        start = 0
+        for end in range(1, len(ranges) + 1):
+            same = end < len(ranges) and (ranges[end].owner, ranges[end].born) == (
+                ranges[start].owner,
+                ranges[start].born,
+            )
+            if same:
+                continue
+            run = ranges[start:end]
+            start = end
+            if len(run) < 2 or any(
+                not one.owner or self._is_moving(one) or self._is_orphan(one)
+                for one in run
+            ):
+                continue
+            joined = replace(run[0], last=run[-1].last)
+            self.owners.assign(joined)
+            self.regrant([joined])
 
     def _is_moving(self, keys: KeyRange) -> bool:
         return any(
@@ -465,14 +522,17 @@
                 if await self._granter.grant(record, keys, handover):
                     return True
             except GrantRefusedError as error:
-                write_event(
-                    "grant_refused",
-                    upstream=record.id,
-                    first=keys.first,
-                    last=keys.last,
-                    fence=keys.fence,
-                    error=str(error),
-                )
+                self._log_refusal(keys, error)
                 return False
             await sleep(GRANT_PAUSE_S)
         return False
+
+    def _log_refusal(self, keys: KeyRange, error: GrantRefusedError) -> None:
+        write_event(
+            "grant_refused",
+            upstream=keys.owner,
+            first=keys.first,
+            last=keys.last,
+            fence=keys.fence,
+            error=str(error),
+        )
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -59,6 +59,7 @@
         self.map_version = -1
         self.epoch = 0
         self.members = 1
+        self.rank: int | None = None
         self.loads = LoadBook(settings.load)
         self._changed = Event()
 
@@ -118,6 +119,7 @@
             return False
         self.epoch = notice.epoch
         self.members = max(1, notice.members)
+        self.rank = notice.rank
         if notice.complete:
             self.owners = {}
         self._apply_changes(notice.changes)
--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -3,7 +3,7 @@
 from asyncio import get_running_loop
 from collections.abc import Sequence
 
-from plantaincart_router.exception import AnswerTimeoutError
+from plantaincart_router.exception import AnswerTimeoutError, ConnectFailedError
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import Header, HttpAnswer, HttpRequest
 
@@ -44,6 +44,7 @@
         headers: Sequence[Header] = (),
         body: bytes = b"",
         timeout_s: float | None = None,
+        only_kept: bool = False,
     ) -> HttpAnswer:
         """
         Make a call.
@@ -60,6 +61,8 @@
             Request body.
         timeout_s : float, optional
             Seconds that this call may take.
+        only_kept : bool
+            Whether to fail rather than open a new connection.
 
         Returns
         -------
@@ -76,7 +79,7 @@
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         ends_at = loop.time() + limit_s
         call = HttpRequest(method, target, tuple(headers), body)
-        connection = await self._take(ends_at - loop.time())
+        connection = await self._take(ends_at - loop.time(), only_kept)
         try:
             answer = await connection.exchange(call, ends_at - loop.time())
         except AnswerTimeoutError:
@@ -94,9 +97,11 @@
         for connection in idle:
             connection.close()
 
-    async def _take(self, timeout_s: float) -> HttpConnection:
+    async def _take(self, timeout_s: float, only_kept: bool) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
+        if only_kept:
+            raise ConnectFailedError(f"{self._host}:{self._port}: no connection kept")
         return await HttpConnection.open(self._host, self._port, timeout_s)
