Plan no key twice at a time, and send an upstream's grants over one connection

Ruled out: renewals that cross a release (refused by their fencing token). Change: keys that move part what is left; overlapping moves are left out; changes are gathered for 20 ms; counts of members fall after 5 s only; cold upstreams get no keys; grants go one at a time over a kept connection.

--- a/packages/core/plantaincart_core/spread.py
+++ b/packages/core/plantaincart_core/spread.py
@@ -261,6 +261,7 @@
             owner = owner_map.find(key).owner
             if owner in self.keys:
                 self.keys[owner].append(key)
+        self.parted: dict[str, set[int]] = {owner: set() for owner in owners}
         self.by_owner = {
             owner: sum(loads[key] for key in keys) for owner, keys in self.keys.items()
         }
@@ -274,11 +275,13 @@
     def take(self, owner: str, target: str, first: int, last: int) -> None:
         keys = self.keys[owner]
         start, end = bisect_left(keys, first), bisect_right(keys, last)
-        moved, keys[start:end] = keys[start:end], []
-        amount = sum(self.loads[key] for key in moved)
+        amount = sum(self.loads[key] for key in keys[start:end])
+        # What is left on either side is parted by the keys that move, and these
+        # stay where they are going: no key is moved twice.
+        self.parted[owner].add(keys[end] if end < len(keys) else KEYS)
+        del keys[start:end]
         self.by_owner[owner] -= amount
         self.by_owner[target] += amount
-        self.keys[target] = sorted(self.keys[target] + moved)
 
 
 def _plan_move(
@@ -333,7 +336,10 @@
     best: tuple[int, int] | None = None
     start, held = 0, 0.0
     for end, key in enumerate(keys):
-        if end > start and _is_parted(plan.ranges[donor], keys[end - 1], key):
+        parted = key in plan.parted[donor]
+        if end > start and (
+            parted or _is_parted(plan.ranges[donor], keys[end - 1], key)
+        ):
             start, held = end, 0.0
         held += loads[key]
         while start < end and held - loads[keys[start]] >= amount:
--- a/packages/router/plantaincart_router/direct/cold.py
+++ b/packages/router/plantaincart_router/direct/cold.py
@@ -11,7 +11,9 @@
 # second apart may arrive closer together.
 WINDOW_S = 1.1
 # Part of the bound that is used; the rest is for instances that just joined.
+# Requests with a key have nowhere else to go.
 USED_PART = 0.8
+KEYED_USED_PART = 0.95
 KEPT_TIMES = 64
 
 
@@ -28,9 +30,6 @@
     -----
     Each instance gets a whole number of requests a second. Where there are more
     instances than requests, each upstream has a few instances that may send to it.
-    A key has one owner, so requests with a key can't go elsewhere: every instance
-    may send one a second, and the coordinator sees to it that a cold owner has few
-    keys.
 
     Examples
     --------
@@ -90,18 +89,22 @@
         bool
             Whether this instance may send one.
         """
-        allowed = self._share(upstream, rate, instances, rank)
-        if keyed:
-            allowed = max(1, allowed)
+        used_part = KEYED_USED_PART if keyed else USED_PART
+        allowed = self._share(upstream, rate, used_part, instances, rank)
         sent = self._sent.get(upstream, ())
         return sum(1 for at in sent if now - at < WINDOW_S) < allowed
 
     def _share(
-        self, upstream: str, rate: float, instances: int, rank: int | None
+        self,
+        upstream: str,
+        rate: float,
+        used_part: float,
+        instances: int,
+        rank: int | None,
     ) -> int:
         if rank is None:
             return 0
         bounds = self._bounds
-        total = int((rate * bounds.cold_ratio + bounds.cold_extra) * USED_PART)
+        total = int((rate * bounds.cold_ratio + bounds.cold_extra) * used_part)
         place = (rank + crc32(upstream.encode())) % instances
         return total // instances + (1 if place < total % instances else 0)
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -1,6 +1,6 @@
 """The one instance that places keys: its term, its members and its map."""
 
-from asyncio import Lock, Task, create_task, sleep
+from asyncio import Lock, Task, TimerHandle, create_task, get_running_loop, sleep
 from collections import deque
 from collections.abc import Callable
 from time import monotonic
@@ -44,6 +44,10 @@
 # Loads are sent with every so many notices to a member.
 SLOWNESS_EVERY = 4
 SLOWNESS_WEIGHT = 0.15
+# Seconds for which changes are gathered before they are sent.
+GATHER_S = 0.02
+# Seconds after which a change that a member doesn't know yet is sent again.
+RESEND_S = 0.6
 # Seconds between two new grants of keys that their owner says it doesn't hold.
 REGRANT_PAUSE_S = 1.0
 
@@ -55,6 +59,8 @@
         self.report = report
         self.heard_at = now
         self.notices = 0
+        self.sent_version = -1
+        self.sent_at = 0.0
 
 
 class Coordinator(OwnershipLedger):
@@ -124,6 +130,7 @@
         self._started_at = monotonic()
         self._resumed = False
         self._tasks: list[Task[None]] = []
+        self._flush: TimerHandle | None = None
         self._decayed_at = monotonic()
         self.ended = False
 
@@ -160,6 +167,8 @@
             task.cancel()
         for name in self._members:
             self._notify(name, self._make_notice(name, resigned=True))
+        if self._flush is not None:
+            self._flush.cancel()
 
     async def hand_over(self) -> None:
         """End the term and say in the store that the role is free."""
@@ -192,7 +201,8 @@
         span_s = max(now - member.heard_at, self._times.report_s)
         member.report, member.heard_at = report, now
         self._take_loads(report, span_s)
-        self._notify(report.member, self._make_notice(report.member))
+        loads = self._sum_in_flight()
+        self._notify(report.member, self._make_notice(report.member, loads))
 
     def next_fence(self) -> int:
         """Return a fencing token above all that were ever given."""
@@ -224,7 +234,14 @@
                     fence=keys.fence,
                 )
             )
-        for name in self._members:
+        if self._flush is None:
+            self._flush = get_running_loop().call_later(GATHER_S, self._send_changes)
+
+    def _send_changes(self) -> None:
+        self._flush = None
+        if self.ended:
+            return
+        for name in list(self._members):
             self._notify(name, self._make_notice(name))
 
     async def _run_guarded(self, name: str, work) -> None:  # type: ignore[no-untyped-def]
@@ -415,20 +432,26 @@
                 del self._members[name]
                 write_event("member_lost", member=name)
 
-    def _make_notice(self, name: str, resigned: bool = False) -> CoordinatorNotice:
+    def _make_notice(
+        self,
+        name: str,
+        in_flight: dict[str, int] | None = None,
+        resigned: bool = False,
+    ) -> CoordinatorNotice:
         member = self._members.get(name)
-        report = member.report if member else None
-        seen = report.map_version if report and report.epoch == self.epoch else -1
+        seen = self._find_seen_version(member)
         behind = self._map_version - seen
-        complete = seen < 0 or behind > len(self._changes)
+        complete = self._resumed and (seen < 0 or behind > len(self._changes))
         if complete:
             changes = self._describe_map()
         else:
-            changes = list(self._changes)[len(self._changes) - behind :]
-        slowness = {}
+            changes = list(self._changes)[max(0, len(self._changes) - behind) :]
+        slowness: dict[str, float] = {}
         if member is not None:
-            member.notices += 1
-            if member.notices % SLOWNESS_EVERY == 1:
+            member.sent_version, member.sent_at = self._map_version, monotonic()
+            if in_flight is not None:
+                member.notices += 1
+            if in_flight is not None and member.notices % SLOWNESS_EVERY == 1:
                 slowness = {
                     upstream: round(value, 1)
                     for upstream, value in self._slowness.items()
@@ -439,14 +462,24 @@
             members=len(self._members),
             rank=sorted(self._members).index(name) if member else 0,
             map_version=self._map_version,
-            complete=complete and self._resumed,
+            complete=complete,
             resigned=resigned,
             doubt=self._doubt,
             changes=changes if self._resumed else [],
-            in_flight=self._sum_in_flight(),
+            in_flight=in_flight or {},
             slowness=slowness,
         )
 
+    def _find_seen_version(self, member: _Member | None) -> int:
+        """Return the version of the map that a member has or is about to get."""
+        if member is None:
+            return self._map_version
+        report = member.report
+        reported = report.map_version if report.epoch == self.epoch else -1
+        if monotonic() - member.sent_at < RESEND_S:
+            return max(reported, member.sent_version)
+        return reported
+
     def _describe_map(self) -> list[MapChange]:
         return [
             MapChange(
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -1,6 +1,6 @@
 """Grants of keys, their renewals, and until when an upstream may hold keys."""
 
-from asyncio import Task, create_task, sleep
+from asyncio import Lock, Task, create_task, sleep
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -15,8 +15,9 @@
 
 # Seconds between looks for grants that are due.
 TICK_S = 0.1
-# Pause in seconds before a call that failed is made again.
+# First and longest pause in seconds before a call that failed is made again.
 RETRY_PAUSE_S = 0.15
+LONGEST_PAUSE_S = 0.6
 
 
 class Granter:
@@ -53,6 +54,7 @@
         self._tasks: dict[tuple[str, int, int], Task[None]] = {}
         self._hold_ends: dict[tuple[str, int], float] = {}
         self._failures: dict[tuple[str, int], int] = {}
+        self._locks: dict[tuple[str, int], Lock] = {}
         self.refused: list[KeyRange] = []
         self.hold_s = min(settings.hold_s, max_hold_s)
         self.acts = True
@@ -132,9 +134,12 @@
         before = self.hold_end(*who)
         longest = hold_s * (1.0 + self._settings.clock_drift)
         margin = self._settings.call_timeout_s + self._settings.hold_margin_s
-        self.extend_hold(*who, monotonic() + longest + margin)
         try:
-            await self._calls.grant(record, keys, hold_s, handover, renewal)
+            # One call at a time, so that all go over the same connection.
+            async with self._locks.setdefault(who, Lock()):
+                before = self.hold_end(*who)
+                self.extend_hold(*who, monotonic() + longest + margin)
+                await self._calls.grant(record, keys, hold_s, handover, renewal)
         except ExchangeError as error:
             if not error.may_have_started:
                 self._hold_ends[who] = before
@@ -168,6 +173,7 @@
         str or None
             Handover; None if the holder didn't answer before its hold had ended.
         """
+        pause_s = RETRY_PAUSE_S
         while self.acts:
             try:
                 return await self._calls.release(record, keys)
@@ -182,7 +188,8 @@
                 )
             if monotonic() >= self.hold_end(record.id, record.born):
                 return None
-            await sleep(RETRY_PAUSE_S)
+            await sleep(pause_s)
+            pause_s = min(LONGEST_PAUSE_S, pause_s * 2.0)
         return None
 
     async def renew(self) -> None:
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -27,8 +27,6 @@
 
 __all__ = ["ServicePlacement"]
 
-# Part of its capacity that a cold upstream is counted with.
-COLD_CAPACITY_PART = 0.3
 # Load counted for a key that nobody asked for lately.
 IDLE_KEY_LOAD = 1e-6
 # Ranges without a usable owner that are given away in one step.
@@ -263,15 +261,19 @@
             working = directory.can_work(record)
             failing = self._granter.is_failing(record.id, record.born)
             slowness = max(0.3, self._view.loads.get(record.id).slowness)
-            capacity = record.slots / slowness
-            if directory.warmup_left_s(record.id, now) > 0.0:
-                capacity *= COLD_CAPACITY_PART
+            cold = directory.warmup_left_s(record.id, now) > 0.0
             owners[record.id] = Owner(
                 id=record.id,
                 born=record.born,
-                capacity=capacity if working else 1e-6,
-                receives=working and not failing,
+                capacity=record.slots / slowness if working else 1e-6,
+                receives=working and not failing and not cold,
             )
+        if not any(owner.receives for owner in owners.values()):
+            # Cold ones are better than none.
+            return {
+                name: replace(owner, receives=owner.capacity > 1e-3)
+                for name, owner in owners.items()
+            }
         return owners
 
     def _plan_first(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
@@ -413,9 +415,11 @@
         started: list[tuple[KeyRange, list[KeyRange]]] = []
         for move in moves:
             record = self._view.directory.get(move.target)
-            if record is None or self._is_moving(
-                KeyRange(first=move.first, last=move.last)
-            ):
+            overlapping = any(
+                keys.first <= move.last and move.first <= keys.last
+                for keys in [*self._moving, *(keys for keys, _ in started)]
+            )
+            if record is None or overlapping:
                 continue
             keys = KeyRange(
                 first=move.first,
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -25,6 +25,8 @@
 
 # Keys reported at a time; what is beyond it counts in the next report.
 MAX_REPORTED_KEYS = 512
+# Seconds for which the highest count of instances is believed.
+MEMBERS_LAST_S = 5.0
 
 
 class SystemView(TableSink):
@@ -60,6 +62,7 @@
         self.epoch = 0
         self.members = 1
         self.rank: int | None = None
+        self._counted_at = 0.0
         self.loads = LoadBook(settings.load)
         self._changed = Event()
 
@@ -118,8 +121,7 @@
         if notice.epoch > self.epoch and not notice.complete:
             return False
         self.epoch = notice.epoch
-        self.members = max(1, notice.members)
-        self.rank = notice.rank
+        self._count_members(notice)
         if notice.complete:
             self.owners = {}
         self._apply_changes(notice.changes)
@@ -256,6 +258,14 @@
                 )
             )
 
+    def _count_members(self, notice: CoordinatorNotice) -> None:
+        """Believe a lower count only after a while: a new coordinator starts at 0."""
+        now = monotonic()
+        if notice.members >= self.members or now - self._counted_at > MEMBERS_LAST_S:
+            self.members = max(1, notice.members)
+            self.rank = notice.rank
+            self._counted_at = now
+
     def _apply_loads(self, notice: CoordinatorNotice) -> None:
         now = monotonic()
         for upstream, total in notice.in_flight.items():
