Keep the coordinator's role while the store is away, and wait less for lost owners

Change: the role is kept to the end of the grace period and grants last longer while nobody reaches the store; rows keep owners' addresses, so that a successor can release keys there; holds of 3 s; the inherited hold counts from the row's last change; requests count against a cold bound before their connection opens.

--- a/packages/core/plantaincart_core/spread.py
+++ b/packages/core/plantaincart_core/spread.py
@@ -83,7 +83,7 @@
     island_share : float
         Part of an owner's fair load up to which a range is joined to a neighbour.
     max_joins : int
-        Ranges joined to a neighbour at a time.
+        Ranges joined to a neighbour at a time; more where there are far too many.
     """
 
     tolerance: float = 0.3
@@ -213,6 +213,8 @@
         sums[bisect_right(firsts, key) - 1] += load
     capacity = sum(owner.capacity for owner in owners.values())
     fair = sum(loads.values()) / max(1, len(owners)) if capacity > 0.0 else 0.0
+    surplus = len(ranges) - settings.ranges_per_owner * len(owners)
+    most = max(settings.max_joins, surplus // 4)
     widest = KEYS // (2 * max(1, len(owners)))
     order = sorted(range(1, len(ranges)), key=lambda at: _count_keys(ranges[at]))
     moves: list[KeyMove] = []
@@ -220,7 +222,7 @@
     for at in order:
         one, before = ranges[at], ranges[at - 1]
         target = owners.get(before.owner)
-        if len(moves) >= settings.max_joins or _count_keys(one) > widest:
+        if len(moves) >= most or _count_keys(one) > widest:
             break
         if taken & {at - 1, at, at + 1} or sums[at] > settings.island_share * fair:
             continue
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -3,6 +3,7 @@
 from asyncio import Lock, Task, TimerHandle, create_task, get_running_loop, sleep
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from time import monotonic
 
 from plantaincart_core.ownermap import KeyRange
@@ -83,6 +84,10 @@
         Version of that row.
     notify : callable
         Sends a notice to the member of a name.
+    idle_since : float
+        Time in seconds before which the earlier coordinator last renewed its term.
+    earlier_hold_s : float
+        Seconds for which the earlier coordinator may have granted keys.
 
     Attributes
     ----------
@@ -107,6 +112,8 @@
         term: CoordinatorRow,
         version: int,
         notify: Callable[[str, CoordinatorNotice], None],
+        idle_since: float,
+        earlier_hold_s: float,
     ) -> None:
         self._settings = settings
         self._times = settings.coordination
@@ -116,6 +123,7 @@
         self._term_version = version
         self._notify = notify
         self._granter = Granter(calls, self._times, settings.bounds.max_hold_s)
+        self._normal_hold_s = self._granter.hold_s
         self._placements: dict[str, ServicePlacement] = {}
         self._row_versions: dict[str, int] = {}
         self._write_lock = Lock()
@@ -132,6 +140,8 @@
         self._tasks: list[Task[None]] = []
         self._flush: TimerHandle | None = None
         self._decayed_at = monotonic()
+        self._idle_since = idle_since
+        self._earlier_hold_s = earlier_hold_s
         self.ended = False
 
     @property
@@ -170,20 +180,27 @@
         if self._flush is not None:
             self._flush.cancel()
 
-    async def hand_over(self) -> None:
-        """End the term and say in the store that the role is free."""
-        self.end("planned")
-        row = CoordinatorRow(
-            holder=self._term.holder,
-            address=self._term.address,
-            epoch=self.epoch,
-            beat=self._term.beat + 1,
-            vacant=True,
-        )
+    async def hand_over(self) -> bool:
+        """
+        Say in the store that the role is free, and end the term.
+
+        Returns
+        -------
+        bool
+            False if the store doesn't answer; the term goes on then, since nobody
+            could take the role.
+        """
+        row = replace(self._term, beat=self._term.beat + 1, vacant=True)
         try:
             await self._write_term(row)
-        except (StoreUnavailableError, StoreConflictError) as error:
+        except StoreUnavailableError as error:
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
+            return False
+        except StoreConflictError:
+            if await self._still_named():
+                return False
+        self.end("planned")
+        return True
 
     def receive(self, report: MemberReport) -> None:
         """Take a member's report and answer it."""
@@ -256,17 +273,12 @@
         while not self.ended:
             await sleep(self._times.beat_s)
             began = monotonic()
-            row = CoordinatorRow(
-                holder=self._term.holder,
-                address=self._term.address,
-                epoch=self.epoch,
-                beat=self._term.beat + 1,
-                vacant=False,
-            )
+            row = replace(self._term, beat=self._term.beat + 1)
             try:
                 await self._write_term(row)
                 self._confirmed_at = began
                 self._doubt = False
+                self._granter.hold_s = self._normal_hold_s
             except StoreConflictError:
                 if not await self._still_named():
                     self.end("another instance has taken over")
@@ -301,9 +313,14 @@
         if any(0.0 <= silence < self._times.reached_s for silence in silences):
             self.end(f"the store answers others, but not this instance: {error}")
         elif age_s > self._times.confirmed_s:
-            nobody = all(silence >= self._times.reached_s for silence in silences)
+            nobody = bool(silences) and all(
+                silence >= self._times.reached_s for silence in silences
+            )
             if not nobody or age_s > self._times.offline_s:
                 self.end(f"no renewal confirmed for {age_s:.1f} s: {error}")
+            else:
+                # Nobody could replace this coordinator, so grants are made to last.
+                self._granter.hold_s = self._settings.bounds.max_hold_s
 
     async def _write_term(self, row: CoordinatorRow) -> None:
         stored = StoreRow(
@@ -364,8 +381,9 @@
 
     def _extend_holds(self, row: OwnershipRow) -> None:
         times = self._times
-        until = self._started_at + times.confirmed_s + times.call_timeout_s
-        until += self._granter.hold_s * (1.0 + times.clock_drift) + times.hold_margin_s
+        until = self._idle_since + times.confirmed_s + times.call_timeout_s
+        until += self._earlier_hold_s * (1.0 + times.clock_drift)
+        until += times.hold_margin_s
         for one in row.ranges:
             self._granter.extend_hold(one.owner, one.born, until)
             if one.previous:
--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -17,6 +17,8 @@
 
 # A feed call that finds no change ends after this time; each one is charged for.
 WAIT_S = 8.0
+# Seconds after a change before the next call is made.
+GATHER_S = 0.2
 # First and longest pause in seconds between calls that fail.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -90,6 +92,8 @@
             self._note_answer()
             if view.rows:
                 self._sink.change_table(self._table, view)
+                # Changes come in groups; one call then brings several.
+                await sleep(GATHER_S)
         self._version = max(view.version, self._version or 0)
 
     def _note_answer(self) -> None:
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -40,6 +40,10 @@
 SUSPECT_READ_S = 0.4
 # Longest random delay in seconds before a candidate writes, so that one wins alone.
 CANDIDATE_DELAY_S = 0.15
+# Seconds between attempts to give the role up while the store doesn't answer.
+LEAVE_RETRY_S = 0.4
+# Seconds for which it counts that the coordinator couldn't reach the store.
+DOUBT_LASTS_S = 40.0
 
 
 class Follower:
@@ -81,6 +85,7 @@
         self._connected_at = 0.0
         self._store_answered_at = monotonic()
         self._resigned = False
+        self._doubt_seen_at = float("-inf")
         self._doubted_at: float | None = None
         self._probe: Task[None] | None = None
         self._leaving = False
@@ -99,10 +104,12 @@
         self._store_answered_at = max(self._store_answered_at, at)
 
     async def leave(self) -> None:
-        """Give the role up and take part no more."""
+        """Give the role up, however often that takes, and take part no more."""
         self._leaving = True
-        if self.coordinator is not None:
-            await self.coordinator.hand_over()
+        while self.coordinator is not None and not self.coordinator.ended:
+            if await self.coordinator.hand_over():
+                return
+            await sleep(LEAVE_RETRY_S)
 
     def close(self) -> None:
         """Release sockets."""
@@ -201,10 +208,18 @@
             row,
             version,
             self._notify,
+            idle_since=self._row_changed_at,
+            earlier_hold_s=self._guess_earlier_hold(),
         )
         self.coordinator.start()
         self._report()
 
+    def _guess_earlier_hold(self) -> float:
+        """Return for how long the earlier coordinator may have granted keys."""
+        if monotonic() - self._doubt_seen_at < DOUBT_LASTS_S:
+            return self._settings.bounds.max_hold_s
+        return min(self._times.hold_s, self._settings.bounds.max_hold_s)
+
     def _connect(self, row: CoordinatorRow) -> None:
         self._disconnect()
         write_event("coordinator_known", holder=row.holder, epoch=row.epoch)
@@ -258,6 +273,8 @@
 
     def _take_doubt(self, doubt: bool) -> None:
         """Try the store while the coordinator gets no answer from it."""
+        if doubt:
+            self._doubt_seen_at = monotonic()
         if not doubt:
             self._doubted_at = None
         elif self._probe is None or self._probe.done():
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -57,7 +57,7 @@
     sent: bool = False
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
-    last: str = ""
+    upstream: str = ""
 
     @property
     def left_s(self) -> float:
@@ -211,7 +211,6 @@
         self, call: _Call, record: UpstreamRecord, error: _NotRunError
     ) -> None:
         """Decide whether a request that didn't run is sent once more."""
-        call.last = str(error)
         if not error.arrived:
             if call.left_s > self._settings.send.least_left_s:
                 call.tried.add(record.id)
@@ -379,7 +378,10 @@
         load = loads.get(record.id)
         present = load.estimate_present(monotonic(), loads.settings.report_ages_s)
         load.in_flight += 1
+        call.upstream = record.id
         sent_at = monotonic()
+        # Counted before a connection is opened: others are admitted meanwhile.
+        self.cold.record(record.id, sent_at)
         try:
             answer = await self._exchange(call, record)
         finally:
@@ -426,7 +428,6 @@
             )
             call.attempts += 1
             call.sent = True
-            self.cold.record(record.id, monotonic())
             answer = await connection.exchange(
                 request, left_s, None, self._make_check(call)
             )
@@ -491,6 +492,7 @@
             outcome=outcome,
             detail=detail or None,
             attempts=call.attempts,
+            upstream=call.upstream or None,
             ms=round((monotonic() - call.started_at) * 1000.0),
             plan=self._view.plan.version if self._view.plan else None,
         )
--- a/packages/router/plantaincart_router/direct/node.py
+++ b/packages/router/plantaincart_router/direct/node.py
@@ -82,7 +82,8 @@
         began = monotonic()
         self._leaving = True
         write_event("stopping", in_flight=self.gateway.in_flight)
-        await self.follower.leave()
+        leave = create_task(self.follower.leave())
+        self._tasks.append(leave)
         self._front.announce_close()
         grace_s = self._settings.bounds.shutdown_grace_s - EXIT_RESERVE_S
         await sleep(max(0.0, min(LEAVE_S, grace_s / 2) - (monotonic() - began)))
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -111,8 +111,26 @@
         for one in row.ranges:
             if one.previous:
                 self._previous[one.first, one.last] = (one.previous, one.previous_born)
+            self._recall(row, one.owner, one.born)
+            self._recall(row, one.previous, one.previous_born)
         self._remember()
 
+    def _recall(self, row: OwnershipRow, upstream: str, born: int) -> None:
+        """Take over where an upstream was reached that may have gone since."""
+        host, _, port = row.addresses.get(upstream, "").rpartition(":")
+        if host and (upstream, born) not in self._records:
+            self._records[upstream, born] = UpstreamRecord(
+                id=upstream,
+                born=born,
+                service=self._service,
+                host=host,
+                port=int(port),
+                data_centre="",
+                slots=1,
+                ready=False,
+                warmup_left_s=0.0,
+            )
+
     def start_resumed(self) -> None:
         """Grant the keys taken over anew, and finish the moves under way."""
         for keys in list(self.owners):
@@ -151,8 +169,15 @@
                     previous_born=previous[1],
                 )
             )
+        holders = {(one.owner, one.born) for one in ranges}
+        holders |= {(one.previous, one.previous_born) for one in ranges}
+        known = [self._records[who] for who in holders if who in self._records]
         return OwnershipRow(
-            service=self._service, epoch=epoch, sequence=sequence, ranges=ranges
+            service=self._service,
+            epoch=epoch,
+            sequence=sequence,
+            ranges=ranges,
+            addresses={one.id: f"{one.host}:{one.port}" for one in known},
         )
 
     def add_load(
@@ -322,9 +347,10 @@
         if not orphans or not receivers:
             return []
         held = self._measure_owners()
+        fair = sum(self.loads.values()) / len(receivers)
         moves: list[KeyMove] = []
         for keys in orphans[:MAX_ORPHANS]:
-            for first, last, load in self._divide(keys):
+            for first, last, load in self._divide(keys, fair):
                 fitting = [one for one in receivers if one.id != keys.owner]
                 if not fitting:
                     continue
@@ -358,8 +384,8 @@
         ended = monotonic() > self._granter.hold_end(record.id, record.born)
         return failing and ended
 
-    def _divide(self, keys: KeyRange) -> list[tuple[int, int, float]]:
-        """Cut keys into pieces of about equal load."""
+    def _divide(self, keys: KeyRange, fair: float) -> list[tuple[int, int, float]]:
+        """Cut keys into pieces of about half of an owner's fair load."""
         loaded = sorted(key for key in self.loads if keys.first <= key <= keys.last)
         total = sum(self.loads[key] for key in loaded)
         idle = (keys.last - keys.first + 1) * IDLE_KEY_LOAD
@@ -381,7 +407,8 @@
         moves = plan_moves(
             self.owners, self.loads, owners, self._request_load, settings
         )
-        return moves or plan_joins(self.owners, self.loads, owners, settings)
+        # Joins that touch keys of a move are left out when they are carried out.
+        return moves + plan_joins(self.owners, self.loads, owners, settings)
 
     def _join_neighbours(self) -> None:
         """Give neighbouring ranges of one owner a common fencing token."""
@@ -450,7 +477,12 @@
         for keys, held in started:
             self._begin(keys, held)
         self._failed = {keys for keys in self._failed if keys in set(self.owners)}
-        write_event("keys_moving", service=self._service, moves=len(started))
+        write_event(
+            "keys_moving",
+            service=self._service,
+            moves=len(started),
+            ranges=len(self.owners),
+        )
 
     def _begin(self, keys: KeyRange, held: list[KeyRange]) -> None:
         self._granter.drop(self._service, keys.first, keys.last)
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -143,12 +143,12 @@
     silent_s: float = 0.7
     beat_s: float = 0.5
     unchanged_s: float = 1.2
-    confirmed_s: float = 3.0
+    confirmed_s: float = 2.0
     reached_s: float = 0.5
     offline_s: float = 30.0
     member_s: float = 1.5
-    hold_s: float = 4.0
-    renew_s: float = 1.0
+    hold_s: float = 3.0
+    renew_s: float = 0.75
     call_timeout_s: float = 0.4
     release_timeout_s: float = 2.5
     clock_drift: float = 0.02
