--- a/packages/core/plantaincart_core/spread.py
+++ b/packages/core/plantaincart_core/spread.py
@@ -132,6 +132,7 @@
     owners: Mapping[str, Owner],
     request_load: float,
     settings: SpreadSettings,
+    moving: Sequence[KeyRange] = (),
 ) -> list[KeyMove]:
     """
     Plan moves from the owners with the highest utilisation to those with the lowest.
@@ -148,6 +149,8 @@
         Load that one counted request adds, for the error of the measurement.
     settings : SpreadSettings
         Imbalance that is borne.
+    moving : sequence of KeyRange
+        Keys on their way to the owner that the map names; they stay as they are.
 
     Returns
     -------
@@ -160,7 +163,7 @@
     one with the fewest keys is taken: hot keys lie next to each other, and what
     matters to the upstreams is how many keys change hands.
     """
-    plan = _Plan(owner_map, loads, owners)
+    plan = _Plan(owner_map, loads, owners, moving)
     if plan.capacity <= 0.0 or plan.load <= 0.0:
         return []
     moves: list[KeyMove] = []
@@ -251,6 +254,7 @@
         owner_map: OwnerMap,
         loads: Mapping[int, float],
         owners: Mapping[str, Owner],
+        moving: Sequence[KeyRange],
     ) -> None:
         self.owners = owners
         self.keys: dict[str, list[int]] = {owner: [] for owner in owners}
@@ -259,14 +263,15 @@
         for one in owner_map:
             if one.owner in self.ranges:
                 self.ranges[one.owner].append(one)
+        self.parted: dict[str, set[int]] = {owner: set() for owner in owners}
+        self.by_owner = dict.fromkeys(owners, 0.0)
         for key in sorted(loads):
             owner = owner_map.find(key).owner
-            if owner in self.keys:
+            if owner not in self.keys:
+                continue
+            self.by_owner[owner] += loads[key]
+            if not any(one.first <= key <= one.last for one in moving):
                 self.keys[owner].append(key)
-        self.parted: dict[str, set[int]] = {owner: set() for owner in owners}
-        self.by_owner = {
-            owner: sum(loads[key] for key in keys) for owner, keys in self.keys.items()
-        }
         self.load = sum(self.by_owner.values())
         self.capacity = sum(owner.capacity for owner in owners.values())
         self.mean = self.load / self.capacity if self.capacity > 0.0 else 0.0
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -195,6 +195,8 @@
             await self._write_term(row)
         except StoreUnavailableError as error:
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
+            # Nobody can take the role, so grants are made to outlast this instance.
+            self._granter.hold_s = self._settings.bounds.max_hold_s
             return False
         except StoreConflictError:
             if await self._still_named():
@@ -318,9 +320,6 @@
             )
             if not nobody or age_s > self._times.offline_s:
                 self.end(f"no renewal confirmed for {age_s:.1f} s: {error}")
-            else:
-                # Nobody could replace this coordinator, so grants are made to last.
-                self._granter.hold_s = self._settings.bounds.max_hold_s
 
     async def _write_term(self, row: CoordinatorRow) -> None:
         stored = StoreRow(
@@ -482,6 +481,7 @@
             map_version=self._map_version,
             complete=complete,
             resigned=resigned,
+            hold_s=self._granter.hold_s,
             doubt=self._doubt,
             changes=changes if self._resumed else [],
             in_flight=in_flight or {},
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -42,8 +42,8 @@
 CANDIDATE_DELAY_S = 0.15
 # Seconds between attempts to give the role up while the store doesn't answer.
 LEAVE_RETRY_S = 0.4
-# Seconds for which it counts that the coordinator couldn't reach the store.
-DOUBT_LASTS_S = 40.0
+# Seconds for which it counts that a coordinator made grants that last long.
+LONG_HOLD_LASTS_S = 40.0
 
 
 class Follower:
@@ -85,7 +85,7 @@
         self._connected_at = 0.0
         self._store_answered_at = monotonic()
         self._resigned = False
-        self._doubt_seen_at = float("-inf")
+        self._long_hold_at = float("-inf")
         self._doubted_at: float | None = None
         self._probe: Task[None] | None = None
         self._leaving = False
@@ -216,9 +216,10 @@
 
     def _guess_earlier_hold(self) -> float:
         """Return for how long the earlier coordinator may have granted keys."""
-        if monotonic() - self._doubt_seen_at < DOUBT_LASTS_S:
+        usual_s = min(self._times.hold_s, self._settings.bounds.max_hold_s)
+        if monotonic() - self._long_hold_at < LONG_HOLD_LASTS_S:
             return self._settings.bounds.max_hold_s
-        return min(self._times.hold_s, self._settings.bounds.max_hold_s)
+        return usual_s
 
     def _connect(self, row: CoordinatorRow) -> None:
         self._disconnect()
@@ -273,8 +274,6 @@
 
     def _take_doubt(self, doubt: bool) -> None:
         """Try the store while the coordinator gets no answer from it."""
-        if doubt:
-            self._doubt_seen_at = monotonic()
         if not doubt:
             self._doubted_at = None
         elif self._probe is None or self._probe.done():
@@ -321,4 +320,6 @@
             return
         self._heard_at = monotonic()
         self._take_doubt(notice.doubt)
+        if notice.hold_s > self._times.hold_s:
+            self._long_hold_at = self._heard_at
         self._view.apply_notice(notice)
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -208,9 +208,8 @@
         rebalance_s = self._settings.coordination.rebalance_s
         if not moves and now - self._balanced_at >= rebalance_s:
             self._balanced_at = now
-            if not self._moving:
-                self._join_neighbours()
-                moves = self._plan_empty(owners) or self._plan_balance(owners)
+            self._join_neighbours()
+            moves = self._plan_empty(owners) or self._plan_balance(owners)
         if moves:
             await self._carry_out(moves)
 
@@ -405,7 +404,12 @@
     def _plan_balance(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
         settings: SpreadSettings = self._settings.spread
         moves = plan_moves(
-            self.owners, self.loads, owners, self._request_load, settings
+            self.owners,
+            self.loads,
+            owners,
+            self._request_load,
+            settings,
+            self._moving,
         )
         # Joins that touch keys of a move are left out when they are carried out.
         return moves + plan_joins(self.owners, self.loads, owners, settings)
