Send the whole map to an instance that was restarted

Two thirds of the moves joined ranges that the balance cut again. Change: members are told apart by process; only a whole map counts as sent to one that follows no map; two joins at a time; moves need 2.5 standard errors.

--- a/packages/core/plantaincart_core/spread.py
+++ b/packages/core/plantaincart_core/spread.py
@@ -88,11 +88,11 @@
 
     tolerance: float = 0.3
     hunger: float = 0.6
-    significance: float = 2.0
+    significance: float = 2.5
     max_moves: int = 16
-    ranges_per_owner: int = 3
+    ranges_per_owner: int = 4
     island_share: float = 0.15
-    max_joins: int = 6
+    max_joins: int = 2
 
 
 def divide_keys(owners: Sequence[Owner]) -> list[KeyMove]:
@@ -217,7 +217,7 @@
     capacity = sum(owner.capacity for owner in owners.values())
     fair = sum(loads.values()) / max(1, len(owners)) if capacity > 0.0 else 0.0
     surplus = len(ranges) - settings.ranges_per_owner * len(owners)
-    most = max(settings.max_joins, surplus // 4)
+    most = max(settings.max_joins, surplus // 10)
     widest = KEYS // (2 * max(1, len(owners)))
     order = sorted(range(1, len(ranges)), key=lambda at: _count_keys(ranges[at]))
     moves: list[KeyMove] = []
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -61,7 +61,8 @@
         self.heard_at = now
         self.notices = 0
         self.sent_version = -1
-        self.sent_at = 0.0
+        self.sent_at = float("-inf")
+        self.complete_at = float("-inf")
 
 
 class Coordinator(OwnershipLedger):
@@ -215,7 +216,7 @@
         if report.leaving:
             self._members.pop(report.member, None)
         member = self._members.get(report.member)
-        if member is None:
+        if member is None or member.report.incarnation != report.incarnation:
             member = self._members[report.member] = _Member(report, now)
         span_s = max(now - member.heard_at, self._times.report_s)
         member.report, member.heard_at = report, now
@@ -466,6 +467,8 @@
         slowness: dict[str, float] = {}
         if member is not None:
             member.sent_version, member.sent_at = self._map_version, monotonic()
+            if complete:
+                member.complete_at = member.sent_at
             if in_flight is not None:
                 member.notices += 1
             if in_flight is not None and member.notices % SLOWNESS_EVERY == 1:
@@ -494,7 +497,8 @@
             return self._map_version
         report = member.report
         reported = report.map_version if report.epoch == self.epoch else -1
-        if monotonic() - member.sent_at < RESEND_S:
+        since = member.sent_at if reported >= 0 else member.complete_at
+        if monotonic() - since < RESEND_S:
             return max(reported, member.sent_version)
         return reported
 
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -3,6 +3,7 @@
 from asyncio import Task, create_task, sleep
 from random import Random
 from time import monotonic
+from uuid import uuid4
 
 from plantaincart_schema.codec import (
     decode_json,
@@ -73,6 +74,7 @@
         self._view = view
         self._platform = platform
         self._random = Random()
+        self._incarnation = uuid4().hex[:12]
         self._context: Context = Context()  # type: ignore[type-arg]
         self._router: LoopSocket | None = None
         self._dealer: LoopSocket | None = None
@@ -247,6 +249,7 @@
             return
         report = MemberReport(
             member=settings.name,
+            incarnation=self._incarnation,
             address=f"{settings.host}:{settings.peer_port}",
             epoch=view.epoch,
             map_version=view.map_version,
