Ask owners that shed although free again, and reclaim an own term at once

Cause: grey upstreams refuse part of their work while they have free slots; keyed requests were refused with them. After a restart of all instances the earlier holder waited for its own term to lapse. Change: such refusals count as slowness, and the owner is asked again within the retry budget; an instance whose earlier process held the term claims it at once.

--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -18,11 +18,14 @@
         Seconds after which what others have in flight counts half.
     max_slowness : float
         Greatest factor by which an upstream counts as slow.
+    shed_slowness : float
+        Factor that a refusal of an upstream with free slots counts as.
     """
 
     smoothing: float = 0.2
     report_ages_s: float = 0.5
     max_slowness: float = 20.0
+    shed_slowness: float = 4.0
 
 
 class UpstreamLoad:
@@ -53,7 +56,8 @@
     def estimate_present(self, now: float, ages_s: float) -> float:
         """Estimate the requests at the upstream, of all instances."""
         age = max(0.0, now - self._others_at)
-        return self.in_flight + self._others * 0.5 ** (age / ages_s)
+        left: float = 0.5 ** (age / ages_s)
+        return self.in_flight + self._others * left
 
 
 class LoadBook:
@@ -152,6 +156,13 @@
         corrected = seconds / max(load.slowness, 0.1)
         self._work_s[route] = usual + weight * 0.5 * (corrected - usual)
 
+    def record_shed(self, upstream: str) -> None:
+        """Learn that an upstream refused a request although it wasn't full."""
+        load = self.get(upstream)
+        ratio = self.settings.shed_slowness
+        load.slowness += self.settings.smoothing * (ratio - load.slowness)
+        self._ratios.setdefault(upstream, []).append(ratio)
+
     def estimate_wait_s(
         self, upstream: str, slots: int, mean_s: float, now: float
     ) -> float:
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -156,7 +156,7 @@
             return
         await self._read_row()
         row = self._row
-        if row is not None and not row.vacant:
+        if row is not None and not row.vacant and not self._is_own(row):
             unchanged_s = monotonic() - self._row_changed_at
             if unchanged_s < self._times.unchanged_s:
                 return
@@ -216,6 +216,14 @@
         self.coordinator.start()
         self._report()
 
+    def _is_own(self, row: CoordinatorRow) -> bool:
+        """
+        Whether a term is that of an earlier process of this instance.
+
+        It has ended then, since an instance runs one process at a time.
+        """
+        return self.coordinator is None and row.holder == self._settings.name
+
     def _guess_earlier_hold(self) -> float:
         """Return for how long the earlier coordinator may have granted keys."""
         usual_s = min(self._times.hold_s, self._settings.bounds.max_hold_s)
@@ -226,8 +234,7 @@
     def _connect(self, row: CoordinatorRow) -> None:
         self._disconnect()
         write_event("coordinator_known", holder=row.holder, epoch=row.epoch)
-        if row.holder == self._settings.name:
-            # A row of this instance's earlier life: it is replaced once unchanged.
+        if self._is_own(row):
             return
         host, _, port = row.address.rpartition(":")
         self._dealer = LoopSocket(
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -1,7 +1,7 @@
 """The way of one request: route, upstream, answer."""
 
-from asyncio import current_task, sleep, timeout
-from collections.abc import Sequence
+from asyncio import Task, current_task, sleep, timeout
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from time import monotonic
@@ -37,9 +37,9 @@
 CROSSING_PENALTY_S = 0.01
 # Part by which equal choices are told apart at random.
 CHOICE_NOISE = 0.1
-# Statuses that callers may read as "not run"; an upstream's own answer with one of
-# them is relayed only if it says so itself.
 DEFAULT_TIME_LEFT_S = 30.0
+# Attempts at the owner of a key.
+KEYED_ATTEMPTS = 3
 
 
 @dataclass(slots=True)
@@ -67,10 +67,13 @@
 class _NotRunError(Exception):
     """An upstream said that it didn't run the request, or was never reached."""
 
-    def __init__(self, detail: str, misdirected: bool, arrived: bool) -> None:
+    def __init__(
+        self, detail: str, misdirected: bool, arrived: bool, full: bool = True
+    ) -> None:
         super().__init__(detail)
         self.misdirected = misdirected
         self.arrived = arrived
+        self.full = full
 
 
 class _LostError(Exception):
@@ -174,7 +177,7 @@
         if call.route.idempotent:
             task = current_task()
             if task is not None:
-                call.caller.call_when_gone(task.cancel)
+                call.caller.call_when_gone(lambda: _cancel(task))
         self._find_budget(call.service.name).record_request(call.started_at)
         while True:
             record = await self._find_upstream(call)
@@ -221,13 +224,22 @@
             await self._wait_for_change(call, 0.3)
             if self._may_repeat(call):
                 return
-        elif not call.service.keyed and self._may_repeat(call):
+        elif call.service.keyed:
+            # Its owner isn't full, so it may well take the same request now.
+            if not error.full and self._may_repeat(call):
+                return
+        elif self._may_repeat(call):
             call.tried.add(record.id)
             return
         raise self._refuse_unserved(call, Reason.QUEUE_FULL, str(error), 0.3)
 
     def _may_repeat(self, call: _Call) -> bool:
-        if call.attempts >= call.route.max_attempts or call.caller.gone.is_set():
+        if call.service.keyed:
+            # The key has one owner, so all attempts go to one upstream.
+            spent = call.attempts >= KEYED_ATTEMPTS
+        else:
+            spent = call.attempts >= call.route.max_attempts
+        if spent or call.caller.gone.is_set():
             return False
         work_s = self._view.loads.estimate_work_s(call.route.name, 0.0)
         if call.left_s < max(work_s, self._settings.send.least_left_s):
@@ -413,7 +425,10 @@
                 self._view.record_refusing(
                     call.service.name, key, record.id, owned.fence
                 )
-        return _NotRunError(f"status {answer.status}", reading.misdirected, True)
+        full = reading.present is None or reading.present >= record.slots
+        if not full and not reading.misdirected:
+            self._view.loads.record_shed(record.id)
+        return _NotRunError(f"status {answer.status}", reading.misdirected, True, full)
 
     async def _exchange(self, call: _Call, record: UpstreamRecord) -> HttpAnswer:
         settings = self._settings.send
@@ -441,7 +456,7 @@
         self._pools.give_back(record, connection, idle_s)
         return answer
 
-    def _make_check(self, call: _Call):  # type: ignore[no-untyped-def]
+    def _make_check(self, call: _Call) -> Callable[[HttpAnswer], bool]:
         def belongs(answer: HttpAnswer) -> bool:
             return self._dialect.is_answer_to(answer, call.reading.request_id)
 
@@ -498,6 +513,10 @@
         )
 
 
+def _cancel(task: Task[object]) -> None:
+    task.cancel()
+
+
 def _refuse(
     reason: Reason, detail: str, retry_after_s: float, status: int | None = None
 ) -> RefusedError:
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -242,6 +242,17 @@
     assert len(upstream.requests) == 1
 
 
+async def test_owner_that_sheds_although_free_is_asked_again():
+    """Pattern srv_grey (shed): the health check is good, part of the work is shed."""
+    shed = answer(503, b"", "not-run: 1\r\npresent: 0\r\n")
+    upstream = Upstream(shed, answer())
+    plan = make_plan(keyed=True, idempotent=False)
+    async with run_gateway(upstream, plan=plan) as (gateway, view):
+        given = await ask(gateway)
+        assert view.loads.get("u0").slowness > 1.0
+    assert given.status == 200
+
+
 async def test_repeats_end_with_the_budget():
     """Pattern srv_grey: an upstream sheds all, and repeats must not multiply."""
     upstream, other = Upstream(*[not_run()] * 100), Upstream(*[not_run()] * 100)
