--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -361,6 +361,7 @@
         view.lose_store()
         view.regain_store()
         view.directory.remove("u0", monotonic())
+        view.loads.get("u1").slowness = 3.0
         for at in range(10):
             assert (await ask(gateway, request_id=f"r{at}")).status == 200
         assert gone.requests == []
