Divide keys evenly at first, and measure slowness against the median

Cause: while the first division waited for upstreams to settle, the step for keys without an owner gave all keys to one of them. Change: nothing but the first division happens before it; a new route is taken to work as long as its service; slowness is relative to the median of the service; refusals log the estimates that decided them.

--- a/packages/core/plantaincart_core/admission.py
+++ b/packages/core/plantaincart_core/admission.py
@@ -37,11 +37,14 @@
     ----------
     admitted : bool
         Whether it should be sent.
+    bound_s : float
+        Longest expected time until the answer that is admitted.
     retry_after_s : float
         Seconds until the wait is expected to be short enough; 0 if admitted.
     """
 
     admitted: bool
+    bound_s: float
     retry_after_s: float = 0.0
 
 
@@ -71,14 +74,15 @@
     --------
     >>> busy = Expectation(wait_s=0.5, work_s=0.2, left_s=2.0, target_s=0.4)
     >>> decide_admission(busy, wait_share=1.0)
-    Admission(admitted=False, retry_after_s=0.3)
+    Admission(admitted=False, bound_s=0.4, retry_after_s=0.3)
     >>> decide_admission(busy, wait_share=2.0).admitted
     True
     """
     bound_s = min(wait_share * expected.target_s, expected.left_s)
     if expected.wait_s <= 0.0:
-        return Admission(admitted=expected.work_s * 0.5 <= expected.left_s)
+        admitted = expected.work_s * 0.5 <= expected.left_s
+        return Admission(admitted=admitted, bound_s=bound_s)
     if expected.wait_s + expected.work_s <= bound_s:
-        return Admission(admitted=True)
+        return Admission(admitted=True, bound_s=bound_s)
     excess = expected.wait_s - max(0.0, bound_s - expected.work_s)
-    return Admission(admitted=False, retry_after_s=round(excess, 3))
+    return Admission(admitted=False, bound_s=bound_s, retry_after_s=round(excess, 3))
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
+from statistics import median
 from time import monotonic
 
 from plantaincart_core.ownermap import KeyRange
@@ -431,7 +432,6 @@
             known = self._slowness.get(upstream, 1.0)
             known += SLOWNESS_WEIGHT * (ratio - known)
             self._slowness[upstream] = known
-            self._view.loads.get(upstream).slowness = known
         now = monotonic()
         for refused in report.refusing:
             placement = self._placements.get(refused.service)
@@ -472,10 +472,7 @@
             if in_flight is not None:
                 member.notices += 1
             if in_flight is not None and member.notices % SLOWNESS_EVERY == 1:
-                slowness = {
-                    upstream: round(value, 1)
-                    for upstream, value in self._slowness.items()
-                }
+                slowness = self._compare_slowness()
         return CoordinatorNotice(
             coordinator=self._term.holder,
             epoch=self.epoch,
@@ -491,6 +488,19 @@
             slowness=slowness,
         )
 
+    def _compare_slowness(self) -> dict[str, float]:
+        """Relate each upstream's slowness to the median of its service."""
+        by_service: dict[str, dict[str, float]] = {}
+        for upstream, value in self._slowness.items():
+            record = self._view.directory.get(upstream)
+            if record is not None:
+                by_service.setdefault(record.service, {})[upstream] = value
+        return {
+            upstream: round(value / max(median(values.values()), 0.1), 2)
+            for values in by_service.values()
+            for upstream, value in values.items()
+        }
+
     def _find_seen_version(self, member: _Member | None) -> int:
         """Return the version of the map that a member has or is about to get."""
         if member is None:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -31,8 +31,8 @@
 
 __all__ = ["Gateway"]
 
-# Seconds that a route's work is taken to last before one was measured, as a part of
-# its target.
+# Seconds that a route's work is taken to last before any of its service was measured,
+# as a part of its target.
 WORK_GUESS_SHARE = 0.35
 # Further seconds of wait that a crossing between data centres is worth.
 CROSSING_PENALTY_S = 0.01
@@ -351,18 +351,26 @@
             )
         shares = self._settings.admission.wait_shares
         share = shares[min(call.route.priority, len(shares) - 1)]
-        admission = decide_admission(self._expect(call, record), share)
+        expected = self._expect(call, record)
+        admission = decide_admission(expected, share)
         if not admission.admitted:
-            raise self._refuse_full(call, record, admission)
+            raise self._refuse_full(call, record, expected, admission)
 
     def _refuse_full(
-        self, call: _Call, record: UpstreamRecord, admission: Admission
+        self,
+        call: _Call,
+        record: UpstreamRecord,
+        expected: Expectation,
+        admission: Admission,
     ) -> RefusedError:
+        load = self._view.loads.get(record.id)
+        detail = (
+            f"upstream {record.id}: expected wait {expected.wait_s:.2f} s and work "
+            f"{expected.work_s:.2f} s exceed {admission.bound_s:.2f} s "
+            f"(own {load.in_flight}, slowness {load.slowness:.1f})"
+        )
         return self._refuse_unserved(
-            call,
-            Reason.QUEUE_FULL,
-            f"expected wait at {record.id} too long",
-            admission.retry_after_s,
+            call, Reason.QUEUE_FULL, detail, admission.retry_after_s
         )
 
     def _refuse_unserved(
@@ -391,8 +399,12 @@
         )
 
     def _estimate_work(self, call: _Call) -> float:
+        return self._view.loads.estimate_work_s(call.route.name, self._guess_work(call))
+
+    def _guess_work(self, call: _Call) -> float:
+        """Return what a new route's work is taken to last: its service's mean."""
         guess_s = call.route.target_s * WORK_GUESS_SHARE
-        return self._view.loads.estimate_work_s(call.route.name, guess_s)
+        return self._mean_work_s.get(call.service.name, guess_s)
 
     async def _attempt(self, call: _Call, record: UpstreamRecord) -> HttpAnswer:
         """Send a request to an upstream once."""
@@ -418,9 +430,9 @@
             raise self._read_not_run(call, record, reading, answer)
         self._tally.count("attempts", call.service.name, "answered")
         self._tally.observe("upstream_seconds", now - sent_at, call.service.name)
-        guess_s = call.route.target_s * WORK_GUESS_SHARE
+        queued = present >= record.slots
         loads.record_work(
-            call.route.name, record.id, now - sent_at, present >= record.slots, guess_s
+            call.route.name, record.id, now - sent_at, queued, self._guess_work(call)
         )
         self._record_mean(call)
         return self._dialect.write_answer(answer)
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -203,7 +203,11 @@
         owners = self._list_owners()
         if not any(owner.receives for owner in owners.values()):
             return
-        moves = self._plan_first(owners) or self._plan_orphans(owners)
+        divided = self._moving or any(keys.owner for keys in self.owners)
+        if not divided:
+            await self.carry_out(self._plan_first(owners))
+            return
+        moves = self._plan_orphans(owners)
         now = monotonic()
         rebalance_s = self._settings.coordination.rebalance_s
         if not moves and now - self._balanced_at >= rebalance_s:
@@ -301,8 +305,6 @@
         return owners
 
     def _plan_first(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
-        if any(keys.owner for keys in self.owners) or self._moving:
-            return []
         receivers = [owner for owner in owners.values() if owner.receives]
         receivers.sort(key=lambda owner: owner.id)
         now = monotonic()
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -127,6 +127,16 @@
         assert sum(one.leads for one in system.instances.values()) == 1
 
 
+async def test_first_division_is_even():
+    """All keys went to whichever upstream the first step saw."""
+    async with run_system(get_running_loop(), names=("r1",)) as system:
+        widths = [
+            sum(one.last - one.first + 1 for one in upstream.holdings)
+            for upstream in system.upstreams.values()
+        ]
+        assert widths == [KEYS // 4] * 4
+
+
 async def test_killed_leader_is_replaced():
     async with run_system(get_running_loop()) as system:
         old = system.find_leader()
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, gather, sleep, start_server
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from time import monotonic
@@ -368,3 +369,19 @@
         assert gone.requests == []
         view.directory.remove("u1", monotonic())
         assert (await ask(gateway)).status == 200
+
+
+async def test_new_route_is_taken_to_work_as_long_as_its_service():
+    """Pattern config_change (route): a few requests come on a route just added."""
+    async with run_gateway(Upstream()) as (gateway, view):
+        for at in range(20):
+            await ask(gateway, request_id=f"r{at}")
+        old = view.plan.routes[0]
+        added = replace(old, name="added", prefix="/x/", target_s=2.0)
+        view._adopt_plan(replace(view.plan, version=2, routes=(old, added)))
+        view.loads.get("u0").set_others(4, monotonic())
+        view.loads.get("u0").slowness = 3.0
+        request = make_request()
+        request = HttpRequest("GET", "/x/y", request.headers, b"")
+        given = await gateway.handle(request, CallerConnection())
+    assert given.status == 200
