--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -204,13 +204,10 @@
         if not any(owner.receives for owner in owners.values()):
             return
         divided = self._moving or any(keys.owner for keys in self.owners)
-        if not divided:
-            await self.carry_out(self._plan_first(owners))
-            return
-        moves = self._plan_orphans(owners)
+        moves = self._plan_orphans(owners) if divided else self._plan_first(owners)
         now = monotonic()
         rebalance_s = self._settings.coordination.rebalance_s
-        if not moves and now - self._balanced_at >= rebalance_s:
+        if divided and not moves and now - self._balanced_at >= rebalance_s:
             self._balanced_at = now
             self._join_neighbours()
             moves = self._plan_empty(owners) or self._plan_balance(owners)
