Read the term's row after a renewal whose answer was lost

A renewal without an answer was only looked into after the next one's conflict, and that didn't count as a confirmation, so a term ended although the store answered. Change: the row is read at once; finding oneself named confirms the term.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -200,9 +200,8 @@
             # Nobody can take the role, so grants are made to outlast this instance.
             self._granter.hold_s = self._settings.bounds.max_hold_s
             return False
-        except StoreConflictError:
-            if await self._still_named():
-                return False
+        except StoreConflictError as error:
+            return not await self._read_term(str(error))
         self.end("planned")
         return True
 
@@ -280,28 +279,35 @@
             row = replace(self._term, beat=self._term.beat + 1)
             try:
                 await self._write_term(row)
-                self._confirmed_at = began
-                self._doubt = False
-                self._granter.hold_s = self._normal_hold_s
-            except StoreConflictError:
-                if not await self._still_named():
-                    self.end("another instance has taken over")
-            except StoreUnavailableError as error:
-                self._check_confirmation(str(error))
+                self._note_confirmation(began)
+            except (StoreConflictError, StoreUnavailableError) as error:
+                # The write may have happened although no answer said so.
+                await self._read_term(str(error))
+
+    def _note_confirmation(self, at: float) -> None:
+        self._confirmed_at = at
+        self._doubt = False
+        self._granter.hold_s = self._normal_hold_s
 
-    async def _still_named(self) -> bool:
-        """Read the term's row; a write whose answer was lost may have changed it."""
+    async def _read_term(self, error: str) -> bool:
+        """Read the term's row; end the term if it no longer names this instance."""
+        began = monotonic()
         try:
             view = await self._store.read(COORDINATOR_TABLE)
         except StoreUnavailableError:
-            return monotonic() - self._confirmed_at < self._times.confirmed_s
-        for row in view.rows:
-            if row.key == COORDINATOR_KEY:
-                found = decode_json(row.value, CoordinatorRow)
-                if (found.epoch, found.holder) == (self.epoch, self._term.holder):
-                    self._term, self._term_version = found, row.version
-                    return not found.vacant
-        return False
+            self._check_confirmation(error)
+            return not self.ended
+        row = next((row for row in view.rows if row.key == COORDINATOR_KEY), None)
+        found = decode_json(row.value, CoordinatorRow) if row is not None else None
+        if row is None or found is None or found.vacant or self._is_other(found):
+            self.end("the row no longer names this instance")
+            return False
+        self._term, self._term_version = found, row.version
+        self._note_confirmation(began)
+        return True
+
+    def _is_other(self, row: CoordinatorRow) -> bool:
+        return (row.epoch, row.holder) != (self.epoch, self._term.holder)
 
     def _check_confirmation(self, error: str) -> None:
         """Go on without the store only while no other instance reaches it either."""
