--- a/packages/operator/plantaincart_operator/command.py
+++ b/packages/operator/plantaincart_operator/command.py
@@ -11,7 +11,12 @@
     sheet_app,
 )
 from plantaincart_operator.exit_code import EXIT_CODE_HELP, ExitCode
-from plantaincart_operator.system_command import show_key, show_status, show_timeline
+from plantaincart_operator.system_command import (
+    show_key,
+    show_request,
+    show_status,
+    show_timeline,
+)
 
 __all__ = ["app", "main", "run_command"]
 
@@ -27,6 +32,7 @@
 app.command(show_status, name="status")
 app.command(show_key, name="key")
 app.command(show_timeline, name="timeline")
+app.command(show_request, name="explain")
 
 
 def run_command(arguments: Sequence[str] | None = None) -> int:
--- a/packages/operator/plantaincart_operator/system_command.py
+++ b/packages/operator/plantaincart_operator/system_command.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from plantaincart_operator.exit_code import ExitCode
+from plantaincart_operator.explain import explain_request, read_events
 from plantaincart_operator.key import find_key
 from plantaincart_operator.option import (
     OutputOption,
@@ -16,7 +17,7 @@
 from plantaincart_operator.status import read_system
 from plantaincart_operator.timeline import EventFilter, build_timeline, list_logs
 
-__all__ = ["show_key", "show_status", "show_timeline"]
+__all__ = ["show_key", "show_request", "show_status", "show_timeline"]
 
 
 async def show_status(
@@ -110,3 +111,26 @@
         return build_timeline(list_logs(logs), chosen)
 
     return await finish_command(work(), output)
+
+
+async def show_request(
+    request: str,
+    /,
+    *logs: Path,
+    output: OutputOption = Output.TEXT,
+) -> ExitCode:
+    """
+    Show what happened to one request, and why.
+
+    Parameters
+    ----------
+    request : str
+        Identity of the request.
+    logs : Path
+        Log files and folders of *.log files; none for standard input.
+    """
+
+    async def work() -> Report:
+        return explain_request(request, read_events(logs))
+
+    return await finish_command(work(), output)
