Take upstreams out at once when another process has their address

An upstream died and its address went to the other service; requests for its keys went there for seconds, three times each, and every one counted as a repeat at that service. Ruled out: more repeats than the budget of the own service allows. Change: a 421 that names another upstream, or a grant's 421, takes the upstream out at this instance until it starts again, and its keys move without waiting, since the process that held them has ended. Two tests fail without it.

--- a/packages/core/plantaincart_core/directory.py
+++ b/packages/core/plantaincart_core/directory.py
@@ -79,6 +79,7 @@
         self._records: dict[str, UpstreamRecord] = {}
         self._warm_at: dict[str, float] = {}
         self._removals: dict[str, float] = {}
+        self._displaced: dict[str, int] = {}
         self._away = False
         self._trusted_at = 0.0
         self.closed_data_centres: frozenset[str] = frozenset()
@@ -107,6 +108,8 @@
         known = self._records.get(record.id)
         if known is not None and known.born > record.born:
             return
+        if record.born <= self._displaced.get(record.id, -1):
+            return
         self._records[record.id] = record
         self._removals.pop(record.id, None)
         self._warm_at[record.id] = now + record.warmup_left_s
@@ -129,6 +132,18 @@
         else:
             self._drop(upstream)
 
+    def displace(self, record: UpstreamRecord) -> None:
+        """
+        Take out an upstream whose address another process has.
+
+        Its announcement may stand for some seconds more and is ignored; a later
+        start under the same identity counts again.
+        """
+        self._displaced[record.id] = record.born
+        known = self._records.get(record.id)
+        if known is not None and known.born == record.born:
+            self._drop(record.id)
+
     def replace_all(self, records: Iterable[UpstreamRecord], now: float) -> None:
         """
         Take over a full list of the upstreams.
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -411,6 +411,9 @@
         plan = self._view.plan
         if plan is None or not self._view.upstreams_known:
             return
+        displaced, self._granter.displaced = self._granter.displaced, []
+        for record in displaced:
+            self._view.displace(record)
         refused, self._granter.refused = self._granter.refused, []
         for policy in plan.services.values():
             if not policy.keyed:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -444,6 +444,8 @@
         reading: AnswerReading,
         answer: HttpAnswer,
     ) -> _NotRunError:
+        if reading.misdirected and reading.answered_by not in ("", record.id):
+            self._view.displace(record)
         key = call.reading.key
         if reading.misdirected and call.service.keyed and key is not None:
             owned = self._view.find_owner(call.service.name, key)
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -6,7 +6,11 @@
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.ownermap import KeyRange
 
-from plantaincart_router.direct.interface import GrantCalls, GrantRefusedError
+from plantaincart_router.direct.interface import (
+    GrantCalls,
+    GrantRefusedError,
+    UpstreamDisplacedError,
+)
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.exception import ExchangeError
 from plantaincart_router.log import write_event
@@ -37,6 +41,8 @@
     ----------
     refused : list of KeyRange
         Standing grants that weren't renewed; they need a new fencing token.
+    displaced : list of UpstreamRecord
+        Upstreams whose address another process has.
 
     Notes
     -----
@@ -56,6 +62,7 @@
         self._failures: dict[tuple[str, int], int] = {}
         self._locks: dict[tuple[str, int], Lock] = {}
         self.refused: list[KeyRange] = []
+        self.displaced: list[UpstreamRecord] = []
         self.hold_s = min(settings.hold_s, max_hold_s)
         self.acts = True
 
@@ -140,6 +147,11 @@
                 before = self.hold_end(*who)
                 self.extend_hold(*who, monotonic() + longest + margin)
                 await self._calls.grant(record, keys, hold_s, handover, renewal)
+        except UpstreamDisplacedError:
+            # Its process has ended, and with it all that it held.
+            self._hold_ends[who] = 0.0
+            self.displaced.append(record)
+            raise
         except ExchangeError as error:
             if not error.may_have_started:
                 self._hold_ends[who] = before
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -19,6 +19,7 @@
     "GrantRefusedError",
     "Platform",
     "PlatformReader",
+    "UpstreamDisplacedError",
 ]
 
 
@@ -26,6 +27,10 @@
     """The upstream has seen a higher fencing token, or calls the grant invalid."""
 
 
+class UpstreamDisplacedError(GrantRefusedError):
+    """Another process has the upstream's address."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerReading:
     """
@@ -60,6 +65,8 @@
         Whether the upstream says that it didn't run the request.
     misdirected : bool
         Whether another upstream has the address, or the key isn't held.
+    answered_by : str
+        Identity of the upstream that has the address; empty if it isn't named.
     signed : bool
         Whether the answer bears the upstream's signature.
     present : int or None
@@ -70,6 +77,7 @@
 
     not_run: bool
     misdirected: bool
+    answered_by: str
     signed: bool
     present: int | None
     idle_timeout_s: float | None
@@ -156,7 +164,7 @@
         Raises
         ------
         GrantRefusedError
-            If the upstream refused.
+            If the upstream refused; `UpstreamDisplacedError` if it has ended.
         """
 
     @abstractmethod
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -18,6 +18,7 @@
     GrantCalls,
     GrantRefusedError,
     PlatformReader,
+    UpstreamDisplacedError,
 )
 from plantaincart_router.direct.settings import CoordinationSettings, DirectSettings
 from plantaincart_router.direct.store import (
@@ -194,6 +195,7 @@
 
     name: str
     reachable: bool = True
+    displaced: bool = False
     work_s: float = 0.0
     lose_answers: int = 0
     connected: set = field(default_factory=set)
@@ -230,6 +232,8 @@
         target = self._reach(upstream)
         if renewal and self.instance not in target.connected:
             raise ConnectFailedError("no connection kept")
+        if target.displaced:
+            raise UpstreamDisplacedError("421")
         target.connected.add(self.instance)
         self.calls.append(("grant", upstream.id, keys, renewal))
         if target.highest_seen(keys.first, keys.last) > keys.fence:
@@ -251,6 +255,8 @@
     async def release(self, upstream, keys):
         target = self._reach(upstream)
         self.calls.append(("release", upstream.id, keys, False))
+        if target.displaced:
+            return ""
         target.seen[keys.first, keys.last] = keys.fence
         kept = []
         for one in target.holdings:
@@ -311,6 +317,7 @@
         return AnswerReading(
             not_run=find_header(answer.headers, "not-run") is not None,
             misdirected=answer.status == 421,
+            answered_by=find_header(answer.headers, "answered-by") or "",
             signed=find_header(answer.headers, "signed") is not None,
             present=int(present) if present else None,
             idle_timeout_s=None,
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -288,3 +288,13 @@
         assert rows == ["ledger"]
         row = system.store.rows[COORDINATOR_TABLE, "term"]
         assert decode_json(row.value, CoordinatorRow).epoch >= 1
+
+
+async def test_keys_of_a_displaced_owner_move_at_once():
+    """Pattern replace_with_reuse: another service has the address of an owner."""
+    async with run_system(get_running_loop()) as system:
+        upstream = system.upstreams["u1"]
+        upstream.displaced = True
+        upstream.holdings.clear()
+        upstream.connected.clear()
+        await wait_for(system.all_served, 0.45)
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -385,3 +385,13 @@
         request = HttpRequest("GET", "/x/y", request.headers, b"")
         given = await gateway.handle(request, CallerConnection())
     assert given.status == 200
+
+
+async def test_displaced_owner_is_asked_once():
+    """Pattern replace_with_reuse: each request there counts for another service."""
+    other = Upstream(*[answer(421, b"", "not-run: 1\r\nanswered-by: v9\r\n")] * 50)
+    async with run_gateway(other, plan=make_plan()) as (gateway, _):
+        for at in range(5):
+            given = await ask(gateway, request_id=f"r{at}", left_s=0.3)
+            assert (given.status, verdict(given)) == (503, "not-run")
+    assert len(other.requests) == 1
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -136,6 +136,14 @@
         owners = self.owners.get(service)
         return None if owners is None else owners.find(key)
 
+    def displace(self, record: UpstreamRecord) -> None:
+        """Take out an upstream whose address another process has."""
+        if self.directory.get(record.id) == record:
+            write_event("upstream_displaced", upstream=record.id, born=record.born)
+            self.directory.displace(record)
+            self._forget(record)
+            self._announce()
+
     def can_hold(self, record: UpstreamRecord) -> bool:
         """Whether an owner may still be sent requests for its keys."""
         if self.directory.can_work(record):
