Drop dead code of the straight path, and name what had no name

Cause: a read of the whole change. Unused: the span of a load report, a member count, the granter's length, a parameter of the division of lost owners' keys. One check for overlapping keys and one making of map changes stood twice; two waits and a factor had no name; a comment on unwritten moves contradicted the code.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -43,6 +43,8 @@
 # Changes kept for members that lag; one that lags more gets the whole map.
 KEPT_CHANGES = 1000
 STEP_S = 0.1
+# A mean over a time constant halves in the constant times this.
+LN_2 = 0.69
 # Loads are sent with every so many notices to a member.
 SLOWNESS_EVERY = 4
 SLOWNESS_WEIGHT = 0.15
@@ -151,11 +153,6 @@
         """Epoch of the term."""
         return self._term.epoch
 
-    @property
-    def member_count(self) -> int:
-        """Instances that reported lately."""
-        return len(self._members)
-
     def start(self) -> None:
         """Begin the term's work."""
         write_event("term_started", epoch=self.epoch)
@@ -218,9 +215,8 @@
         member = self._members.get(report.member)
         if member is None or member.report.incarnation != report.incarnation:
             member = self._members[report.member] = _Member(report, now)
-        span_s = max(now - member.heard_at, self._times.report_s)
         member.report, member.heard_at = report, now
-        self._take_loads(report, span_s)
+        self._take_loads(report)
         loads = self._sum_in_flight()
         self._notify(report.member, self._make_notice(report.member, loads))
 
@@ -244,16 +240,7 @@
         """Tell the members of new owners."""
         for keys in changes:
             self._map_version += 1
-            self._changes.append(
-                MapChange(
-                    service=service,
-                    first=keys.first,
-                    last=keys.last,
-                    owner=keys.owner,
-                    born=keys.born,
-                    fence=keys.fence,
-                )
-            )
+            self._changes.append(_make_change(service, keys))
         if self._flush is None:
             self._flush = get_running_loop().call_later(GATHER_S, self._send_changes)
 
@@ -427,16 +414,16 @@
     def _decay(self, now: float) -> None:
         span_s = now - self._decayed_at
         self._decayed_at = now
-        factor = 0.5 ** (span_s / (self._times.load_memory_s * 0.69))
+        factor = 0.5 ** (span_s / (self._times.load_memory_s * LN_2))
         for placement in self._placements.values():
             placement.decay_load(factor)
 
-    def _take_loads(self, report: MemberReport, span_s: float) -> None:
+    def _take_loads(self, report: MemberReport) -> None:
         for load in report.loads:
             placement = self._placements.get(load.service)
             if placement is not None:
                 work_s = [work / 1000.0 for work in load.work_ms]
-                placement.add_load(load.keys, work_s, span_s)
+                placement.add_load(load.keys, work_s)
         for upstream, ratio in report.slowness.items():
             known = self._slowness.get(upstream, 1.0)
             known += SLOWNESS_WEIGHT * (ratio - known)
@@ -523,14 +510,7 @@
 
     def _describe_map(self) -> list[MapChange]:
         return [
-            MapChange(
-                service=service,
-                first=keys.first,
-                last=keys.last,
-                owner=keys.owner,
-                born=keys.born,
-                fence=keys.fence,
-            )
+            _make_change(service, keys)
             for service, placement in self._placements.items()
             for keys in placement.describe()
         ]
@@ -541,3 +521,14 @@
             for upstream, count in member.report.in_flight.items():
                 total[upstream] = total.get(upstream, 0) + count
         return total
+
+
+def _make_change(service: str, keys: KeyRange) -> MapChange:
+    return MapChange(
+        service=service,
+        first=keys.first,
+        last=keys.last,
+        owner=keys.owner,
+        born=keys.born,
+        fence=keys.fence,
+    )
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -41,6 +41,10 @@
 DEFAULT_TIME_LEFT_S = 30.0
 # Attempts at the owner of a key.
 KEYED_ATTEMPTS = 3
+# Seconds to wait for another owner after the known one couldn't be reached, and
+# after it said that it doesn't hold the key.
+UNREACHED_WAIT_S = 0.2
+MISDIRECTED_WAIT_S = 0.3
 
 
 @dataclass(slots=True)
@@ -225,10 +229,10 @@
             if call.left_s > self._settings.send.least_left_s:
                 call.tried.add(record.id)
                 if call.service.keyed:
-                    await self._wait_for_change(call, 0.2)
+                    await self._wait_for_change(call, UNREACHED_WAIT_S)
                 return
         elif error.misdirected and call.service.keyed:
-            await self._wait_for_change(call, 0.3)
+            await self._wait_for_change(call, MISDIRECTED_WAIT_S)
             if self._may_repeat(call):
                 return
         elif call.service.keyed:
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -66,9 +66,6 @@
         self.hold_s = min(settings.hold_s, max_hold_s)
         self.acts = True
 
-    def __len__(self) -> int:
-        return len(self._standing)
-
     def hold_end(self, upstream: str, born: int) -> float:
         """Return the time after which an upstream holds nothing without new calls."""
         return self._hold_ends.get((upstream, born), 0.0)
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -180,10 +180,8 @@
             addresses={one.id: f"{one.host}:{one.port}" for one in known},
         )
 
-    def add_load(
-        self, keys: Iterable[int], work_s: Iterable[float], span_s: float
-    ) -> None:
-        """Add work that was asked within a span of time to the mean loads."""
+    def add_load(self, keys: Iterable[int], work_s: Iterable[float]) -> None:
+        """Add work that was asked to the mean loads."""
         weight = 1.0 / self._settings.coordination.load_memory_s
         for key, work in zip(keys, work_s, strict=True):
             self.loads[key] = self.loads.get(key, 0.0) + work * weight
@@ -345,10 +343,9 @@
         if not orphans or not receivers:
             return []
         held = self._measure_owners()
-        fair = sum(self.loads.values()) / len(receivers)
         moves: list[KeyMove] = []
         for keys in orphans[:MAX_ORPHANS]:
-            for first, last, load in self._divide(keys, fair):
+            for first, last, load in self._divide(keys):
                 fitting = [one for one in receivers if one.id != keys.owner]
                 if not fitting:
                     continue
@@ -382,8 +379,8 @@
         ended = monotonic() > self._granter.hold_end(record.id, record.born)
         return failing and ended
 
-    def _divide(self, keys: KeyRange, fair: float) -> list[tuple[int, int, float]]:
-        """Cut keys into pieces of about half of an owner's fair load."""
+    def _divide(self, keys: KeyRange) -> list[tuple[int, int, float]]:
+        """Cut keys into pieces of about equal load."""
         loaded = sorted(key for key in self.loads if keys.first <= key <= keys.last)
         total = sum(self.loads[key] for key in loaded)
         idle = (keys.last - keys.first + 1) * IDLE_KEY_LOAD
@@ -436,20 +433,15 @@
             self.regrant([joined])
 
     def _is_moving(self, keys: KeyRange) -> bool:
-        return any(
-            one.first <= keys.last and keys.first <= one.last for one in self._moving
-        )
+        return _overlaps(keys, self._moving)
 
     async def _carry_out(self, moves: list[KeyMove]) -> None:
         before = list(self.owners)
         started: list[tuple[KeyRange, list[KeyRange]]] = []
         for move in moves:
             record = self._view.directory.get(move.target)
-            overlapping = any(
-                keys.first <= move.last and move.first <= keys.last
-                for keys in [*self._moving, *(keys for keys, _ in started)]
-            )
-            if record is None or overlapping:
+            under_way = [*self._moving, *(keys for keys, _ in started)]
+            if record is None or _overlaps(move, under_way):
                 continue
             keys = KeyRange(
                 first=move.first,
@@ -469,9 +461,9 @@
         try:
             await self._ledger.write(self._service, self.describe_row)
         except StoreUnavailableError as error:
-            # The write may still happen, so the decision stands; a restart of the
-            # coordinator finds either the old or the new owners, and the old ones
-            # go on holding the keys until the row is known to be written.
+            # Nothing has moved. If the write happened all the same, a later
+            # coordinator releases the keys at the old owners, which the row names,
+            # before it grants them to the new ones.
             write_event("moves_not_written", service=self._service, error=str(error))
             self.owners = OwnerMap(before)
             for keys, _ in started:
@@ -575,3 +567,7 @@
             fence=keys.fence,
             error=str(error),
         )
+
+
+def _overlaps(keys: KeyRange | KeyMove, ranges: Iterable[KeyRange]) -> bool:
+    return any(one.first <= keys.last and keys.first <= one.last for one in ranges)
