Keep the owners of keys as compressed text in the store

Cause: on the grown site of dsk the store refused every write of the row of owners ('a table, key, version or value is missing or too long'): with 114 owners the plain JSON took 65,960 bytes, and a row holds 65,536. No keys moved from then on. Ruled out: the number of rows or tables (two tables, one row a service). Change: the row is compressed JSON (12.7 kB at 114 owners, 43.5 kB at 350). A row that can't be read is overwritten by the next coordinator and no longer ends its term.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -21,6 +21,10 @@
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
 from plantaincart_router.direct.ledger import OwnershipLedger
+from plantaincart_router.direct.ownershiprow import (
+    decode_ownership,
+    encode_ownership,
+)
 from plantaincart_router.direct.placement import ServicePlacement
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import (
@@ -325,15 +329,15 @@
 
     async def _write_row(self, service: str, row: OwnershipRow) -> None:
         version = self._row_versions.get(service, 0)
-        stored = StoreRow(key=service, value=encode_json(row), version=version)
+        stored = StoreRow(key=service, value=encode_ownership(row), version=version)
         self._row_versions[service] = await self._store.write(OWNERSHIP_TABLE, stored)
 
     async def _resolve_conflict(self, service: str) -> None:
         view = await self._store.read(OWNERSHIP_TABLE)
         for row in view.rows:
             if row.key == service:
-                found = decode_json(row.value, OwnershipRow)
-                if found.epoch > self.epoch:
+                found = _read_ownership(row)
+                if found is not None and found.epoch > self.epoch:
                     self.end("a later epoch has written")
                     raise StoreUnavailableError("term ended", may_have_happened=False)
                 self._row_versions[service] = row.version
@@ -354,13 +358,10 @@
         view = await self._store.read(OWNERSHIP_TABLE)
         rows = []
         for row in view.rows:
-            try:
-                found = decode_json(row.value, OwnershipRow)
-            except MalformedMessageError as error:
-                write_event("ownership_row_unreadable", key=row.key, error=str(error))
-                continue
             self._row_versions[row.key] = row.version
-            rows.append(found)
+            found = _read_ownership(row)
+            if found is not None:
+                rows.append(found)
         for found in rows:
             placement = self._add_placement(found.service)
             placement.resume(found)
@@ -523,6 +524,14 @@
         return total
 
 
+def _read_ownership(row: StoreRow) -> OwnershipRow | None:
+    try:
+        return decode_ownership(row.value)
+    except MalformedMessageError as error:
+        write_event("ownership_row_unreadable", key=row.key, error=str(error))
+        return None
+
+
 def _make_change(service: str, keys: KeyRange) -> MapChange:
     return MapChange(
         service=service,
