Gather changes of the store for longer where there are many instances

Ruled out: calls of the coordinator (2 a second) and idle feed calls (about 900). Change: the pause after a change grows with the count of instances, up to 0.3 of the shortest bound on taking changes over; the grace for owners that leave shrinks by it.

--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -15,10 +15,6 @@
 
 __all__ = ["TableFeed", "TableSink"]
 
-# A feed call that finds no change ends after this time; each one is charged for.
-WAIT_S = 8.0
-# Seconds after a change before the next call is made.
-GATHER_S = 0.2
 # First and longest pause in seconds between calls that fail.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -43,6 +39,10 @@
     def regain_store(self) -> None:
         """Note that the store answers again."""
 
+    @abstractmethod
+    def choose_gather_s(self) -> float:
+        """Choose the seconds from a change to the next call."""
+
 
 class TableFeed:
     """
@@ -56,9 +56,14 @@
         Table to follow.
     sink : TableSink
         Takes over what is read.
+    wait_s : float
+        Seconds after which a call that finds no change ends.
     """
 
-    def __init__(self, store: Store, table: str, sink: TableSink) -> None:
+    def __init__(
+        self, store: Store, table: str, sink: TableSink, wait_s: float
+    ) -> None:
+        self._wait_s = wait_s
         self._store = store
         self._table = table
         self._sink = sink
@@ -87,13 +92,13 @@
         else:
             # After an outage the first answer shows that the store is back, so it
             # must not wait for a change.
-            wait_s = 0.0 if self._away else WAIT_S
+            wait_s = 0.0 if self._away else self._wait_s
             view = await self._store.watch(self._table, self._version, wait_s)
             self._note_answer()
             if view.rows:
                 self._sink.change_table(self._table, view)
                 # Changes come in groups; one call then brings several.
-                await sleep(GATHER_S)
+                await sleep(self._sink.choose_gather_s())
         self._version = max(view.version, self._version or 0)
 
     def _note_answer(self) -> None:
--- a/packages/router/plantaincart_router/direct/node.py
+++ b/packages/router/plantaincart_router/direct/node.py
@@ -65,7 +65,7 @@
         self.follower = Follower(settings, self.view, platform)
         reader = platform.reader
         self._feeds = [
-            TableFeed(platform.store, table, self.view)
+            TableFeed(platform.store, table, self.view, settings.feed.wait_s)
             for table in (reader.operator_table, reader.upstream_table)
         ]
         self._tasks: list[Task[None]] = []
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -10,6 +10,7 @@
     "BoundSettings",
     "CoordinationSettings",
     "DirectSettings",
+    "FeedSettings",
     "SendSettings",
 ]
 
@@ -25,6 +26,8 @@
         Seconds after which a leaving upstream must get no more requests.
     evacuate_s : float
         The same for the upstreams of a data centre taken out of service.
+    plan_s : float
+        Seconds after which a new traffic plan must be in force.
     shutdown_grace_s : float
         Seconds between SIGTERM and SIGKILL.
     retry_ratio, retry_extra : float
@@ -39,6 +42,7 @@
 
     drain_s: float = 2.0
     evacuate_s: float = 5.0
+    plan_s: float = 2.0
     shutdown_grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_extra: float = 60.0
@@ -48,6 +52,57 @@
     max_hold_s: float = 10.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FeedSettings:
+    """
+    How the store's tables are followed; each call is charged for.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds after which a call that finds no change ends.
+    gather_s : float
+        Least time in seconds from a change to the next call, which brings all
+        changes made meanwhile.
+    member_gather_s : float
+        Seconds by which that time grows with each live instance, so that the calls
+        of all instances together stay at some 55 a second while much changes.
+    bound_share : float
+        Longest such time, as a part of the shortest bound on taking changes over.
+    """
+
+    wait_s: float = 8.0
+    gather_s: float = 0.2
+    member_gather_s: float = 0.018
+    bound_share: float = 0.3
+
+    def choose_gather_s(self, members: int, bounds: BoundSettings) -> float:
+        """
+        Choose how long changes are gathered.
+
+        Parameters
+        ----------
+        members : int
+            Live instances.
+        bounds : BoundSettings
+            Bounds that must be kept all the same.
+
+        Returns
+        -------
+        float
+            Seconds.
+
+        Examples
+        --------
+        >>> settings, bounds = FeedSettings(), BoundSettings(drain_s=2.5, plan_s=2.5)
+        >>> [settings.choose_gather_s(count, bounds) for count in (3, 20, 80)]
+        [0.2, 0.36, 0.75]
+        """
+        shortest_s = min(bounds.drain_s, bounds.evacuate_s, bounds.plan_s)
+        wanted_s = max(self.gather_s, self.member_gather_s * members)
+        return min(wanted_s, max(self.gather_s, self.bound_share * shortest_s))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SendSettings:
     """
@@ -182,6 +237,7 @@
     peer_port: int
     metrics_port: int = 9464
     bounds: BoundSettings = field(default_factory=BoundSettings)
+    feed: FeedSettings = field(default_factory=FeedSettings)
     send: SendSettings = field(default_factory=SendSettings)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
     coordination: CoordinationSettings = field(default_factory=CoordinationSettings)
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -25,6 +25,8 @@
 
 # Keys reported at a time; what is beyond it counts in the next report.
 MAX_REPORTED_KEYS = 512
+# Part of the bound on a leaving owner's last request that is made use of.
+LEAVING_SHARE = 0.7
 # Seconds for which the highest count of instances is believed.
 MEMBERS_LAST_S = 5.0
 
@@ -97,6 +99,11 @@
         """Wait for announcements that lapsed meanwhile."""
         self.directory.note_return(monotonic())
 
+    def choose_gather_s(self) -> float:
+        """Choose how long changes are gathered, by the count of instances."""
+        settings = self._settings
+        return settings.feed.choose_gather_s(self.members, settings.bounds)
+
     def expire(self) -> None:
         """Take out upstreams that are still missing after an outage."""
         for record in self.directory.expire(monotonic()):
@@ -151,8 +158,10 @@
         bounds = self._settings.bounds
         bound_s = bounds.evacuate_s if record.ready else bounds.drain_s
         since = self._leaving_since.get(record.id, 0.0)
-        # The bound runs from the store's acknowledgement, which came a little sooner.
-        return monotonic() - since < bound_s * 0.6
+        # The bound runs from the store's acknowledgement, which came sooner by what
+        # changes are gathered for.
+        last_s = bound_s * LEAVING_SHARE - self.choose_gather_s()
+        return monotonic() - since < last_s
 
     async def wait_for_change(self) -> None:
         """Wait until the map or the upstreams change."""
