Let only short queues stand at upstreams without a free slot

Change: where no slot has been free for 0.5 s, requests wait for 1.2 to 1.0 of the target at most; reports count in full until the next is due.

--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -14,18 +14,29 @@
     ----------
     smoothing : float
         Part of a new measurement in a mean.
+    report_lasts_s : float
+        Seconds for which what others have in flight counts in full; reports come
+        four times a second.
     report_ages_s : float
-        Seconds after which what others have in flight counts half.
+        Seconds after that in which it comes to count half.
     max_slowness : float
         Greatest factor by which an upstream counts as slow.
     shed_slowness : float
         Factor that a refusal of an upstream with free slots counts as.
+    standing_s : float
+        Seconds for which an upstream must be seen without a free slot until its
+        queue counts as a standing one, rather than as that of a short burst.
+    unseen_s : float
+        Longest time in seconds between two such sights.
     """
 
     smoothing: float = 0.2
+    report_lasts_s: float = 0.4
     report_ages_s: float = 0.5
     max_slowness: float = 20.0
     shed_slowness: float = 4.0
+    standing_s: float = 0.5
+    unseen_s: float = 0.8
 
 
 class UpstreamLoad:
@@ -40,25 +51,48 @@
         Time of its work relative to the usual.
     """
 
-    __slots__ = ("_others", "_others_at", "in_flight", "slowness")
+    __slots__ = (
+        "_full_since",
+        "_others",
+        "_others_at",
+        "_seen_at",
+        "in_flight",
+        "slowness",
+    )
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.slowness = 1.0
         self._others = 0.0
         self._others_at = 0.0
+        self._full_since = 0.0
+        self._seen_at = float("-inf")
 
     def set_others(self, count: float, now: float) -> None:
         """Note how many requests other instances have at the upstream."""
         self._others = max(0.0, count)
         self._others_at = now
 
-    def estimate_present(self, now: float, ages_s: float) -> float:
+    def estimate_present(self, now: float, settings: LoadSettings) -> float:
         """Estimate the requests at the upstream, of all instances."""
-        age = max(0.0, now - self._others_at)
-        left: float = 0.5 ** (age / ages_s)
+        age_s = max(0.0, now - self._others_at - settings.report_lasts_s)
+        left: float = 0.5 ** (age_s / settings.report_ages_s)
         return self.in_flight + self._others * left
 
+    def note_full(self, full: bool, now: float, unseen_s: float) -> None:
+        """Note whether all slots were seen to be taken."""
+        if not full:
+            self._seen_at = float("-inf")
+            return
+        if now - self._seen_at > unseen_s:
+            self._full_since = now
+        self._seen_at = now
+
+    def has_standing_queue(self, now: float, settings: LoadSettings) -> bool:
+        """Whether no slot has been free for a while."""
+        seen = now - self._seen_at <= settings.unseen_s
+        return seen and now - self._full_since >= settings.standing_s
+
 
 class LoadBook:
     """
@@ -93,6 +127,31 @@
             load = self._loads[upstream] = UpstreamLoad()
         return load
 
+    def record_present(
+        self, upstream: str, present: float, slots: int, now: float
+    ) -> None:
+        """
+        Learn how many requests all instances have at an upstream.
+
+        Parameters
+        ----------
+        upstream : str
+            Its identity.
+        present : float
+            Requests there, running and waiting, with those of this instance.
+        slots : int
+            Requests that it runs at a time.
+        now : float
+            Present time in seconds.
+        """
+        load = self.get(upstream)
+        load.set_others(present - load.in_flight, now)
+        load.note_full(present >= slots, now, self.settings.unseen_s)
+
+    def has_standing_queue(self, upstream: str, now: float) -> bool:
+        """Whether an upstream has had no free slot for a while."""
+        return self.get(upstream).has_standing_queue(now, self.settings)
+
     def forget(self, upstream: str) -> None:
         """Drop what is known of an upstream that has gone."""
         self._loads.pop(upstream, None)
@@ -186,6 +245,7 @@
             Seconds; 0 while a slot is free.
         """
         load = self.get(upstream)
-        present = load.estimate_present(now, self.settings.report_ages_s)
+        present = load.estimate_present(now, self.settings)
+        load.note_full(present >= slots, now, self.settings.unseen_s)
         ahead = max(0.0, present + 1.0 - slots)
         return ahead * mean_s * load.slowness / max(1, slots)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -363,9 +363,9 @@
     def _judge(
         self, call: _Call, record: UpstreamRecord
     ) -> tuple[Expectation, Admission]:
-        shares = self._settings.admission.wait_shares
-        share = shares[min(call.route.priority, len(shares) - 1)]
         expected = self._expect(call, record)
+        standing = self._view.loads.has_standing_queue(record.id, monotonic())
+        share = self._settings.admission.choose_share(call.route.priority, standing)
         return expected, decide_admission(expected, share)
 
     def _refuse_full(
@@ -424,7 +424,7 @@
             raise _refuse(Reason.TIMEOUT, "the caller has gone", 0.0, 503)
         loads = self._view.loads
         load = loads.get(record.id)
-        present = load.estimate_present(monotonic(), loads.settings.report_ages_s)
+        present = load.estimate_present(monotonic(), loads.settings)
         load.in_flight += 1
         call.upstream = record.id
         sent_at = monotonic()
@@ -437,7 +437,7 @@
         reading = self._dialect.read_answer(answer)
         now = monotonic()
         if reading.present is not None:
-            load.set_others(reading.present - load.in_flight, now)
+            loads.record_present(record.id, reading.present, record.slots, now)
         if reading.not_run:
             raise self._read_not_run(call, record, reading, answer)
         self._tally.count("attempts", call.service.name, "answered")
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -145,14 +145,44 @@
     wait_shares : tuple of float
         Longest expected time until the answer, as a part of the route's target, by
         the route's rank; ranks beyond the last count as the last.
+    standing_shares : tuple of float
+        The same at an upstream that has had no free slot for a while. Whatever waits
+        there makes all later requests wait as long, so that all would come late.
     least_retry_s, most_retry_s : float
         Bounds in seconds of what callers are told to wait.
     """
 
     wait_shares: tuple[float, ...] = (2.2, 1.8, 1.5)
+    standing_shares: tuple[float, ...] = (1.2, 1.1, 1.0)
     least_retry_s: float = 0.1
     most_retry_s: float = 2.0
 
+    def choose_share(self, rank: int, standing: bool) -> float:
+        """
+        Choose how long a request may wait, as a part of its route's target.
+
+        Parameters
+        ----------
+        rank : int
+            Rank of the route; 0 is the most urgent.
+        standing : bool
+            Whether its upstream has had no free slot for a while.
+
+        Returns
+        -------
+        float
+            Share of the target.
+
+        Examples
+        --------
+        >>> AdmissionSettings().choose_share(0, standing=False)
+        2.2
+        >>> AdmissionSettings().choose_share(7, standing=True)
+        1.0
+        """
+        shares = self.standing_shares if standing else self.wait_shares
+        return shares[min(rank, len(shares) - 1)]
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CoordinationSettings:
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -286,8 +286,9 @@
     def _apply_loads(self, notice: CoordinatorNotice) -> None:
         now = monotonic()
         for upstream, total in notice.in_flight.items():
-            load = self.loads.get(upstream)
-            load.set_others(total - load.in_flight, now)
+            record = self.directory.get(upstream)
+            if record is not None:
+                self.loads.record_present(upstream, total, record.slots, now)
         for upstream, slowness in notice.slowness.items():
             self.loads.get(upstream).slowness = slowness
 
