Give keys that exceed their owner to the fastest upstreams

Ruled out: too slow a spread of neighbouring keys (two keys, two owners had the refusals). Change: plan_hot_keys moves such a key alone to the fastest upstream that has none, if that is 1.4 times as fast; tests of the plan fail without it.

--- a/packages/core/plantaincart_core/tests/test_spread.py
+++ b/packages/core/plantaincart_core/tests/test_spread.py
@@ -7,6 +7,7 @@
     Owner,
     SpreadSettings,
     divide_keys,
+    plan_hot_keys,
     plan_joins,
     plan_moves,
 )
@@ -21,6 +22,13 @@
     }
 
 
+def make_unequal(*capacities):
+    return {
+        f"u{at}": Owner(id=f"u{at}", born=1, capacity=capacity)
+        for at, capacity in enumerate(capacities)
+    }
+
+
 def make_map(owners):
     owner_map = OwnerMap()
     for fence, move in enumerate(divide_keys(list(owners.values()))):
@@ -134,3 +142,37 @@
         apply_moves(owner_map, moves)
     assert before > 80
     assert len({one.owner for one in owner_map.list_within(0, 20000)}) == 1
+
+
+def test_key_beyond_one_owner_goes_to_the_fastest():
+    owners = make_unequal(0.8, 2.0, 4.0, 6.0)
+    owner_map = make_map(owners)
+    hot = owner_map.find(0).first + 5
+    loads = dict.fromkeys(range(0, KEYS, 64), 0.001) | {hot: 9.0}
+    moves = plan_hot_keys(owner_map, loads, owners, SETTINGS)
+    assert [(move.first, move.last, move.target) for move in moves] == [
+        (hot, hot, "u3")
+    ]
+    owner_map.assign(KeyRange(first=hot, last=hot, owner="u3", born=1, fence=9))
+    assert plan_hot_keys(owner_map, loads, owners, SETTINGS) == []
+
+
+def test_hot_keys_do_not_meet_on_one_owner():
+    owners = make_unequal(1.0, 1.0, 4.0, 6.0)
+    owner_map = make_map(owners)
+    first, second = (list(owner_map)[at].first for at in (0, 1))
+    loads = {first: 9.0, second: 8.0}
+    moves = plan_hot_keys(owner_map, loads, owners, SETTINGS)
+    assert {(move.first, move.target) for move in moves} == {
+        (first, "u3"),
+        (second, "u2"),
+    }
+
+
+def test_hot_key_stays_for_a_small_gain_or_while_it_moves():
+    owners = make_unequal(2.0, 2.5)
+    owner_map = make_map(owners)
+    assert plan_hot_keys(owner_map, {7: 9.0}, owners, SETTINGS) == []
+    owners = make_unequal(2.0, 5.0)
+    under_way = [KeyRange(first=0, last=100, owner="u0", born=1, fence=2)]
+    assert plan_hot_keys(owner_map, {7: 9.0}, owners, SETTINGS, under_way) == []
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -12,6 +12,7 @@
     Owner,
     SpreadSettings,
     divide_keys,
+    plan_hot_keys,
     plan_joins,
     plan_moves,
 )
@@ -399,7 +400,8 @@
 
     def _plan_balance(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
         settings: SpreadSettings = self._settings.spread
-        moves = plan_moves(
+        moves = plan_hot_keys(self.owners, self.loads, owners, settings, self._moving)
+        moves += plan_moves(
             self.owners,
             self.loads,
             owners,
@@ -407,7 +409,7 @@
             settings,
             self._moving,
         )
-        # Joins that touch keys of a move are left out when they are carried out.
+        # Moves that touch keys of an earlier one are left out when carried out.
         return moves + plan_joins(self.owners, self.loads, owners, settings)
 
     def _join_neighbours(self) -> None:
