Free keys of silent owners when their hold ends, and refuse requests for them at once

Ruled out: slow takeovers (the new term began 0.15 s after the start and granted all keys of owners that answered at once). Change: a release ends with the hold; a range that has had no owner for a second isn't in a handover, so requests for it are refused at once, to come back when the hold has ended.

--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -21,6 +21,7 @@
 
 from plantaincart_router.direct.cold import ColdGate
 from plantaincart_router.direct.interface import AnswerReading, CallerReading, Dialect
+from plantaincart_router.direct.ownerless import OwnerlessRanges
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.tally import Tally
@@ -38,6 +39,8 @@
 DEFAULT_TIME_LEFT_S = 30.0
 # Attempts at the owner of a key.
 KEYED_ATTEMPTS = 3
+# Least seconds after which callers come back for keys without an owner.
+OWNERLESS_RETRY_S = 0.5
 # Seconds to wait for another owner after the known one couldn't be reached, and
 # after it said that it doesn't hold the key.
 UNREACHED_WAIT_S = 0.2
@@ -116,6 +119,7 @@
         self._random = Random()
         self._budgets: dict[str, WindowBudget] = {}
         self._mean_work_s: dict[str, float] = {}
+        self._ownerless = OwnerlessRanges()
         self.cold = ColdGate(settings.bounds)
         self.in_flight = 0
 
@@ -289,20 +293,35 @@
                 and record.born == owned.born
                 and self._view.can_hold(record)
             ):
+                self._ownerless.clear(call.service.name, owned.first)
                 self._tally.observe(
                     "park_seconds", monotonic() - parked_at, call.service.name
                 )
                 self._admit(call, record)
                 return record
+            now = monotonic()
+            first = owned.first if owned is not None else 0
+            ownerless_s = self._ownerless.note(call.service.name, first, now)
             wait_s = min(
-                parked_until - monotonic(), call.left_s - self._estimate_work(call)
+                parked_until - now,
+                self._settings.send.handover_s - ownerless_s,
+                call.left_s - self._estimate_work(call),
             )
             if wait_s <= 0.0 or call.caller.gone.is_set():
-                raise self._refuse_unserved(
-                    call, Reason.NO_OWNER, f"no owner for key {key}", 0.5
-                )
+                raise self._refuse_ownerless(call, key, ownerless_s)
             await self._wait_for_change(call, wait_s)
 
+    def _refuse_ownerless(
+        self, call: _Call, key: int, ownerless_s: float
+    ) -> RefusedError:
+        detail = f"no owner for key {key}, for {ownerless_s:.1f} s"
+        times = self._settings.coordination
+        # By then the hold of an owner that can't be reached has ended.
+        left_s = times.hold_s + times.call_timeout_s + times.hold_margin_s - ownerless_s
+        return self._refuse_unserved(
+            call, Reason.NO_OWNER, detail, max(left_s, OWNERLESS_RETRY_S)
+        )
+
     async def _wait_for_change(self, call: _Call, wait_s: float) -> None:
         try:
             async with timeout(max(0.0, min(wait_s, call.left_s))):
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -1,6 +1,6 @@
 """Grants of keys, their renewals, and until when an upstream may hold keys."""
 
-from asyncio import Lock, Task, create_task, sleep
+from asyncio import Lock, Task, create_task, sleep, timeout
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -185,22 +185,31 @@
         pause_s = RETRY_PAUSE_S
         while self.acts:
             try:
-                return await self._calls.release(record, keys)
-            except ExchangeError as error:
+                async with timeout(self._limit_release(record)):
+                    return await self._calls.release(record, keys)
+            except (ExchangeError, TimeoutError) as error:
                 write_event(
                     "release_failed",
                     upstream=record.id,
                     first=keys.first,
                     last=keys.last,
                     fence=keys.fence,
-                    error=str(error),
+                    error=str(error) or "hold ended",
                 )
-            if monotonic() >= self.hold_end(record.id, record.born):
+            left_s = self.hold_end(record.id, record.born) - monotonic()
+            if left_s <= 0.0:
                 return None
-            await sleep(pause_s)
+            await sleep(min(pause_s, left_s))
             pause_s = min(LONGEST_PAUSE_S, pause_s * 2.0)
         return None
 
+    def _limit_release(self, record: UpstreamRecord) -> float | None:
+        """Return how long a release may take: to the end of the hold, if it's known."""
+        hold_end = self._hold_ends.get((record.id, record.born))
+        if hold_end is None:
+            return None
+        return max(hold_end - monotonic(), self._settings.call_timeout_s)
+
     async def renew(self) -> None:
         """Renew the standing grants until cancelled."""
         while True:
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -120,6 +120,9 @@
         Seconds that an idle connection is kept if the upstream names no time.
     park_s : float
         Longest time in seconds that a request waits for keys that change hands.
+    handover_s : float
+        Seconds without an owner after which a range isn't taken to be in a handover
+        any more, so that requests for it are refused at once.
     least_left_s : float
         Time left in seconds below which nothing is sent any more.
     retry_budget_share : float
@@ -131,6 +134,7 @@
     fresh_s: float = 2.0
     keep_s: float = 8.0
     park_s: float = 1.5
+    handover_s: float = 1.0
     least_left_s: float = 0.02
     retry_budget_share: float = 0.6
 
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -319,6 +319,27 @@
     assert (given.status, verdict(given)) == (503, "not-run")
 
 
+async def test_keys_of_a_lost_owner_are_refused_at_once_after_a_while():
+    """Pattern srv_crash: an owner is out of reach, its keys are asked for steadily."""
+    async with run_gateway(Upstream(), plan=make_plan(timeout_s=4.0)) as (
+        gateway,
+        view,
+    ):
+        view.owners["ledger"] = OwnerMap()
+        handover_s = gateway._settings.send.handover_s
+        await ask(gateway, left_s=3.0)
+        for _ in range(3):
+            began = monotonic()
+            given = await ask(gateway, left_s=3.0)
+            assert monotonic() - began < 0.1
+            assert (given.status, verdict(given)) == (503, "not-run")
+            assert float(find_header(given.headers, "retry-after")) >= handover_s / 2
+        view.owners["ledger"].assign(
+            KeyRange(first=0, last=KEYS - 1, owner="u0", born=1, fence=2)
+        )
+        assert (await ask(gateway, left_s=3.0)).status == 200
+
+
 async def test_full_owner_refuses_at_once():
     """Pattern burst: what can't be served in time isn't held."""
     plan = make_plan(idempotent=False)
