Part the choice of the upstream and the sending from the gateway

Change: call (one request, how an attempt ends), selector (which upstream, or the refusal), sender (one attempt) and gateway (route, repeats, budget, log); moved, not changed.

--- /dev/null
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -0,0 +1,279 @@
+"""Choice of the upstream for a request, or its refusal."""
+
+from asyncio import timeout
+from collections.abc import Sequence
+from random import Random
+from time import monotonic
+
+from plantaincart_core.admission import Admission, Expectation, decide_admission
+from plantaincart_core.choice import choose_cheapest
+from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.verdict import (
+    Reason,
+    Refusal,
+    RefusedError,
+    refuse_may_have_run,
+)
+
+from plantaincart_router.direct.call import Call, refuse
+from plantaincart_router.direct.cold import ColdGate
+from plantaincart_router.direct.ownerless import OwnerlessRanges
+from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.tally import Tally
+from plantaincart_router.direct.view import SystemView
+
+__all__ = ["UpstreamSelector"]
+
+# Seconds that a route's work is taken to last before any of its service was measured,
+# as a part of its target.
+WORK_GUESS_SHARE = 0.35
+# Least seconds after which callers come back for keys without an owner.
+OWNERLESS_RETRY_S = 0.5
+
+
+class UpstreamSelector:
+    """
+    Finds the owner of a key, or the cheapest upstream of a service without keys.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+        Settings of the instance.
+    view : SystemView
+        What is known of the system.
+    cold : ColdGate
+        Counts what cold upstreams get.
+    tally : Tally
+        Counts what happens.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        view: SystemView,
+        cold: ColdGate,
+        tally: Tally,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._cold = cold
+        self._tally = tally
+        self._random = Random()
+        self._mean_work_s: dict[str, float] = {}
+        self._ownerless = OwnerlessRanges()
+
+    async def find_upstream(self, call: Call) -> UpstreamRecord:
+        """
+        Find the upstream that a request is sent to; wait for keys that move.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+
+        Returns
+        -------
+        UpstreamRecord
+            Upstream that should do it in time.
+
+        Raises
+        ------
+        RefusedError
+            If none can.
+        """
+        if call.service.keyed:
+            return await self._find_owner(call)
+        candidates = [
+            record
+            for record in self._view.directory
+            if record.service == call.service.name
+            and self._view.directory.can_work(record)
+            and record.id not in call.tried
+        ]
+        # An outage may have made all of them vanish; a few may really have gone.
+        doubtful = self._view.directory.is_doubtful
+        sure = [record for record in candidates if not doubtful(record.id)]
+        return self._choose(call, sure or candidates)
+
+    async def _find_owner(self, call: Call) -> UpstreamRecord:
+        key = call.reading.key
+        if key is None:
+            raise refuse(Reason.KEY_MISSING, "the service is divided by key", 0.0)
+        parked_at = monotonic()
+        parked_until = parked_at + self._settings.send.park_s
+        self._view.record_asked(call.service.name, key, self.estimate_work(call))
+        while True:
+            owned = self._view.find_owner(call.service.name, key)
+            record = self._view.directory.get(owned.owner) if owned else None
+            if (
+                owned is not None
+                and record is not None
+                and record.born == owned.born
+                and self._view.can_hold(record)
+            ):
+                self._ownerless.clear(call.service.name, owned.first)
+                self._tally.observe(
+                    "park_seconds", monotonic() - parked_at, call.service.name
+                )
+                self._admit(call, record)
+                return record
+            now = monotonic()
+            first = owned.first if owned is not None else 0
+            ownerless_s = self._ownerless.note(call.service.name, first, now)
+            wait_s = min(
+                parked_until - now,
+                self._settings.send.handover_s - ownerless_s,
+                call.left_s - self.estimate_work(call),
+            )
+            if wait_s <= 0.0 or call.caller.gone.is_set():
+                raise self._refuse_ownerless(call, key, ownerless_s)
+            await self.wait_for_change(call, wait_s)
+
+    def _refuse_ownerless(
+        self, call: Call, key: int, ownerless_s: float
+    ) -> RefusedError:
+        detail = f"no owner for key {key}, for {ownerless_s:.1f} s"
+        times = self._settings.coordination
+        # By then the hold of an owner that can't be reached has ended.
+        left_s = times.hold_s + times.call_timeout_s + times.hold_margin_s - ownerless_s
+        return self.refuse_unserved(
+            call, Reason.NO_OWNER, detail, max(left_s, OWNERLESS_RETRY_S)
+        )
+
+    async def wait_for_change(self, call: Call, wait_s: float) -> None:
+        """Wait until the map or the upstreams change, but no longer than a time."""
+        try:
+            async with timeout(max(0.0, min(wait_s, call.left_s))):
+                await self._view.wait_for_change()
+        except TimeoutError:
+            pass
+
+    def _choose(
+        self, call: Call, candidates: Sequence[UpstreamRecord]
+    ) -> UpstreamRecord:
+        now = monotonic()
+        warm = {
+            record.id: record
+            for record in candidates
+            if self._is_warm_enough(call, record, now)
+        }
+        if not warm:
+            raise self.refuse_unserved(
+                call, Reason.UPSTREAM_UNREACHABLE, "no upstream may be given work", 0.5
+            )
+        home = self._settings.data_centre
+        near = [name for name, record in warm.items() if record.data_centre == home]
+        far = [name for name, record in warm.items() if record.data_centre != home]
+
+        def measure(name: str) -> float:
+            expected = self._expect(call, warm[name])
+            return expected.wait_s + expected.work_s
+
+        settings = self._settings.choice
+        chosen = choose_cheapest(near, far, measure, settings, self._random)
+        if chosen is None or not self._judge(call, warm[chosen])[1].admitted:
+            # Nothing is refused while any upstream could do it.
+            chosen = min(warm, key=measure)
+        self._admit(call, warm[chosen])
+        return warm[chosen]
+
+    def _is_warm_enough(self, call: Call, record: UpstreamRecord, now: float) -> bool:
+        left_s = self._view.directory.warmup_left_s(record.id, now)
+        if left_s <= 0.0:
+            return True
+        allowed = call.service.cold_requests_per_s
+        view = self._view
+        return self._cold.has_room(
+            record.id, allowed, view.members, view.rank, call.service.keyed, now
+        )
+
+    def _admit(self, call: Call, record: UpstreamRecord) -> None:
+        """Refuse a request that would wait too long."""
+        now = monotonic()
+        if call.service.keyed and not self._is_warm_enough(call, record, now):
+            raise self.refuse_unserved(
+                call, Reason.RATE_LIMITED, f"upstream {record.id} is cold", 0.5
+            )
+        expected, admission = self._judge(call, record)
+        if not admission.admitted:
+            raise self._refuse_full(call, record, expected, admission)
+
+    def _judge(
+        self, call: Call, record: UpstreamRecord
+    ) -> tuple[Expectation, Admission]:
+        expected = self._expect(call, record)
+        standing = self._view.loads.has_standing_queue(record.id, monotonic())
+        share = self._settings.admission.choose_share(call.route.priority, standing)
+        return expected, decide_admission(expected, share)
+
+    def _refuse_full(
+        self,
+        call: Call,
+        record: UpstreamRecord,
+        expected: Expectation,
+        admission: Admission,
+    ) -> RefusedError:
+        load = self._view.loads.get(record.id)
+        detail = (
+            f"upstream {record.id}: expected wait {expected.wait_s:.2f} s and work "
+            f"{expected.work_s:.2f} s exceed {admission.bound_s:.2f} s "
+            f"(own {load.in_flight}, slowness {load.slowness:.1f})"
+        )
+        return self.refuse_unserved(
+            call, Reason.QUEUE_FULL, detail, admission.retry_after_s
+        )
+
+    def refuse_unserved(
+        self, call: Call, reason: Reason, detail: str, retry_after_s: float
+    ) -> RefusedError:
+        """
+        Return the error that refuses a request.
+
+        Parameters
+        ----------
+        call : Call
+            The request; it is said to have run if it may have.
+        reason : Reason
+            Why it isn't served.
+        detail : str
+            For the log.
+        retry_after_s : float
+            Seconds after which it may be served; callers are spread beyond it.
+        """
+        if call.may_have_run:
+            return RefusedError(refuse_may_have_run(Reason.UPSTREAM_LOST, detail))
+        settings = self._settings.admission
+        spread = retry_after_s * (1.0 + 0.5 * self._random.random())
+        retry_s = min(max(spread, settings.least_retry_s), settings.most_retry_s)
+        refusal = Refusal(
+            status=503, reason=reason, detail=detail, retry_after_s=retry_s
+        )
+        return RefusedError(refusal)
+
+    def _expect(self, call: Call, record: UpstreamRecord) -> Expectation:
+        loads = self._view.loads
+        mean_s = self._mean_work_s.get(call.service.name, self.estimate_work(call))
+        wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, monotonic())
+        work_s = self.estimate_work(call) * loads.get(record.id).slowness
+        return Expectation(
+            wait_s=wait_s,
+            work_s=work_s,
+            left_s=call.left_s,
+            target_s=call.route.target_s,
+        )
+
+    def estimate_work(self, call: Call) -> float:
+        """Return the seconds that a request's work should take."""
+        return self._view.loads.estimate_work_s(call.route.name, self.guess_work(call))
+
+    def guess_work(self, call: Call) -> float:
+        """Return what a new route's work is taken to last: its service's mean."""
+        guess_s = call.route.target_s * WORK_GUESS_SHARE
+        return self._mean_work_s.get(call.service.name, guess_s)
+
+    def record_mean(self, call: Call) -> None:
+        """Take an answered request into the mean work of its service."""
+        work_s = self.estimate_work(call)
+        mean_s = self._mean_work_s.get(call.service.name, work_s)
+        mean_s += self._settings.load.smoothing * 0.25 * (work_s - mean_s)
+        self._mean_work_s[call.service.name] = mean_s
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -1,18 +1,52 @@
-"""Write docs/SETTINGS.md from the schema definitions; --check only compares."""
+"""Write docs/SETTINGS.md from definitions and classes; --check only compares."""
 
 from collections.abc import Iterator, Mapping
+from dataclasses import MISSING, Field, fields
+from inspect import getdoc
 from pathlib import Path
+from re import match
 from sys import argv
 from sys import exit as exit_process
 from typing import Any
 
+from plantaincart_core.choice import ChoiceSettings
+from plantaincart_core.spread import SpreadSettings
+from plantaincart_core.upstreamload import LoadSettings
+from plantaincart_router.direct.settings import (
+    AdmissionSettings,
+    BoundSettings,
+    CoordinationSettings,
+    DirectSettings,
+    FeedSettings,
+    ResourceSettings,
+    SendSettings,
+)
 from plantaincart_schema.document import read_definition
 
 PAGE = Path(__file__).parent.parent / "docs" / "SETTINGS.md"
 HEAD = """# Settings reference
 
-Written by `tools/settings_reference.py` from the schema definitions; don't edit.
+Written by `tools/settings_reference.py` from the schema definitions and the settings
+classes; don't edit.
+"""
+DIRECT_HEAD = """## On the users' platform
+
+An instance reads a file that the platform makes from `platform/settings.toml.in` at each
+start; see [PLATFORM.md](PLATFORM.md). `bounds`, `resources` and
+the fields of `DirectSettings` come from there; the others are fixed in the product.
 """
+DIRECT_CLASSES = (
+    DirectSettings,
+    BoundSettings,
+    ResourceSettings,
+    FeedSettings,
+    SendSettings,
+    ChoiceSettings,
+    AdmissionSettings,
+    CoordinationSettings,
+    LoadSettings,
+    SpreadSettings,
+)
 DOCUMENTS = (
     ("settings", "Settings", "an instance, `plantaincartd --settings FILE`"),
     ("operator", "OperatorSettings", "the operator command, `--platform FILE`"),
@@ -40,9 +74,50 @@
         )
         lines += [f"## {title}", "", f"TOML document of {purpose}.", ""]
         lines += describe_table(root, definition, "")
+    lines.append(DIRECT_HEAD)
+    for kind in DIRECT_CLASSES:
+        lines += describe_class(kind)
     return "\n".join(lines)
 
 
+def describe_class(kind: type) -> Iterator[str]:
+    """Yield the lines on a settings class, from its fields and its doc comment."""
+    text = getdoc(kind) or ""
+    meanings = read_parameters(text)
+    yield f"### {kind.__name__}"
+    yield ""
+    yield text.partition("\n")[0]
+    yield ""
+    yield "| setting | default | meaning |"
+    yield "|---|---|---|"
+    for one in fields(kind):
+        if one.name in meanings:
+            default = describe_default(one)
+            yield f"| `{one.name}` | {default} | {meanings[one.name]} |"
+    yield ""
+
+
+def describe_default(field: Field[Any]) -> str:
+    """Return the default of a field."""
+    return "required" if field.default is MISSING else f"`{field.default!r}`"
+
+
+def read_parameters(text: str) -> dict[str, str]:
+    """Return the descriptions by name in the Parameters section of a doc comment."""
+    _, _, section = text.partition("Parameters\n----------\n")
+    meanings: dict[str, str] = {}
+    names: list[str] = []
+    for line in section.splitlines():
+        if found := match(r"(\w+(?:, \w+)*) : ", line):
+            names = found[1].split(", ")
+        elif not line.startswith(" "):
+            break
+        else:
+            for name in names:
+                meanings[name] = f"{meanings.get(name, '')} {line.strip()}".strip()
+    return meanings
+
+
 def describe_table(
     table: Mapping[str, Any], definition: Mapping[str, Any], place: str
 ) -> Iterator[str]:
