--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -31,9 +31,9 @@
 """
 DIRECT_HEAD = """## On the users' platform
 
-An instance reads a file that the platform makes from `platform/settings.toml.in` at each
-start; see [PLATFORM.md](PLATFORM.md). `bounds`, `resources` and
-the fields of `DirectSettings` come from there; the others are fixed in the product.
+An instance reads a file that the platform makes from `platform/settings.toml.in` at
+each start; see [PLATFORM.md](PLATFORM.md). `bounds`, `resources` and the fields of
+`DirectSettings` come from there; the others are fixed in the product.
 """
 DIRECT_CLASSES = (
     DirectSettings,
