Give owners no grace in a data centre that was closed before the instance started

It learnt of the closure at its start and counted the owner's grace from then. Ruled out: a closure that it didn't know (the row is read before the owners' map). Change: an owner gets grace only if this instance has seen it working, after it had read the operators' rows. The test fails without the change.

--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from plantaincart_router.direct.gateway import Gateway
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.settings import BoundSettings
+from plantaincart_router.direct.store import StoreRow, TableView
 from plantaincart_router.direct.tally import Tally
 from plantaincart_router.direct.tests.fakes import (
     PlainDialect,
@@ -120,6 +121,16 @@
     return script
 
 
+class ClosingReader(PlainReader):
+    """Any row of operators closes data centre a, where all upstreams are."""
+
+    def read_closed_data_centre(self, row):
+        return "a"
+
+    def read_upstream(self, row):
+        return make_record(row.key)
+
+
 @asynccontextmanager
 async def run_gateway(*upstreams, plan=None, bounds=None):
     plan = plan or make_plan(keyed=False)
@@ -367,6 +378,32 @@
     assert len(upstream.requests) <= bound / 2 + 1
 
 
+async def test_restarted_instance_gives_a_closed_data_centre_no_grace():
+    """Pattern evacuate with all processes lost: it was closed long before the start."""
+    settings = make_settings()
+    for closed_first in (True, False):
+        view = SystemView(settings, ClosingReader(), UpstreamPools(settings.send))
+        upstreams = TableView(rows=[StoreRow(key="u0", version=1)], version=1)
+        closures = TableView(rows=[StoreRow(key="closed", version=1)], version=1)
+        reads = [("operator", closures), ("upstreams", upstreams)]
+        for table, rows in reads if closed_first else reversed(reads):
+            view.replace_table(table, rows)
+        assert not view.can_hold(view.directory.get("u0"))
+
+
+async def test_owner_of_a_data_centre_that_closes_may_finish_its_handover():
+    settings = make_settings()
+    view = SystemView(settings, ClosingReader(), UpstreamPools(settings.send))
+    view.replace_table("operator", TableView(rows=[], version=1))
+    row = StoreRow(key="u0", version=1)
+    view.replace_table("upstreams", TableView(rows=[row], version=1))
+    closure = StoreRow(key="closed", version=2)
+    view.change_table("operator", TableView(rows=[closure], version=2))
+    record = view.directory.get("u0")
+    assert not view.directory.can_work(record)
+    assert view.can_hold(record)
+
+
 async def test_leaving_upstream_gets_no_unkeyed_work():
     upstream = Upstream()
     async with run_gateway(upstream) as (gateway, view):
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -53,6 +53,8 @@
         self._pools = pools
         self._closed_by_row: dict[str, str] = {}
         self._leaving_since: dict[str, float] = {}
+        self._seen_working: set[str] = set()
+        self._operators_known = False
         self._asked: dict[str, dict[int, float]] = {}
         self._refusing: list[RefusedKey] = []
         self.plan: TrafficPlan | None = None
@@ -157,7 +159,7 @@
             return True
         bounds = self._settings.bounds
         bound_s = bounds.evacuate_s if record.ready else bounds.drain_s
-        since = self._leaving_since.get(record.id, 0.0)
+        since = self._leaving_since.get(record.id, float("-inf"))
         # The bound runs from the store's acknowledgement, which came sooner by what
         # changes are gathered for.
         last_s = bound_s * LEAVING_SHARE - self.choose_gather_s()
@@ -213,8 +215,13 @@
         for record in self.directory:
             if self.directory.can_work(record):
                 self._leaving_since.pop(record.id, None)
+                if self._operators_known:
+                    self._seen_working.add(record.id)
             else:
-                self._leaving_since.setdefault(record.id, now)
+                # One that never worked here may have been leaving for long.
+                working = record.id in self._seen_working
+                since = now if working else float("-inf")
+                self._leaving_since.setdefault(record.id, since)
         for record in known.values():
             present = self.directory.get(record.id)
             if present is None or present.born != record.born:
@@ -226,6 +233,7 @@
         if self.directory.get(record.id) is None:
             self.loads.forget(record.id)
             self._leaving_since.pop(record.id, None)
+            self._seen_working.discard(record.id)
 
     def _log_upstream(self, old: UpstreamRecord | None, new: UpstreamRecord) -> None:
         if old is None or (old.born, old.ready) != (new.born, new.ready):
@@ -254,6 +262,9 @@
             write_event("data_centres_closed", names=sorted(closed_now))
             self.directory.closed_data_centres = closed_now
             self._note_leaving({})
+        if not self._operators_known:
+            self._operators_known = True
+            self._note_leaving({})
 
     def _adopt_plan(self, plan: TrafficPlan | None) -> None:
         if plan is None or (self.plan and plan.version <= self.plan.version):
