Join code that stood twice on the straight path, and drop what nothing uses

Cause: reading the whole change again. The choice of an upstream was judged twice for each request without a key, and its work estimated twice for each judgement. Dropped, since nothing called them: set_warmup, ColdGate.forget, two counters that were never counted, a start time, and whether an answer is signed. No behaviour is meant to change, and no test's assertion did (an import and an unused field of the stand-in dialect).

--- a/packages/core/plantaincart_core/directory.py
+++ b/packages/core/plantaincart_core/directory.py
@@ -208,11 +208,6 @@
         """Return the seconds that an upstream stays cold; 0 for a warm one."""
         return max(0.0, self._warm_at.get(upstream, 0.0) - now)
 
-    def set_warmup(self, upstream: str, left_s: float, now: float) -> None:
-        """Note how long an upstream stays cold, as its health check says."""
-        if upstream in self._records:
-            self._warm_at[upstream] = now + left_s
-
     def _drop(self, upstream: str) -> UpstreamRecord:
         self._removals.pop(upstream, None)
         self._warm_at.pop(upstream, None)
--- a/packages/router/plantaincart_router/direct/cold.py
+++ b/packages/router/plantaincart_router/direct/cold.py
@@ -53,10 +53,6 @@
         sent = self._sent.setdefault(upstream, deque(maxlen=KEPT_TIMES))
         sent.append(now)
 
-    def forget(self, upstream: str) -> None:
-        """Drop the count of an upstream that has gone."""
-        self._sent.pop(upstream, None)
-
     def has_room(
         self,
         upstream: str,
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -8,7 +8,6 @@
 from time import monotonic
 
 from plantaincart_core.ownermap import KeyRange
-from plantaincart_schema.codec import decode_json, encode_json
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
@@ -33,13 +32,16 @@
     StoreRow,
     StoreUnavailableError,
 )
+from plantaincart_router.direct.termrow import (
+    COORDINATOR_TABLE,
+    find_term,
+    make_term_row,
+)
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 
-__all__ = ["COORDINATOR_KEY", "COORDINATOR_TABLE", "OWNERSHIP_TABLE", "Coordinator"]
+__all__ = ["OWNERSHIP_TABLE", "Coordinator"]
 
-COORDINATOR_TABLE = "coordinator"
-COORDINATOR_KEY = "term"
 OWNERSHIP_TABLE = "ownership"
 
 # Fencing tokens are the epoch and a sequence number in one integer.
@@ -145,7 +147,6 @@
         self._regranted: dict[tuple[str, int], float] = {}
         self._confirmed_at = monotonic()
         self._doubt = False
-        self._started_at = monotonic()
         self._resumed = False
         self._tasks: list[Task[None]] = []
         self._flush: TimerHandle | None = None
@@ -297,12 +298,11 @@
         except StoreUnavailableError:
             self._check_confirmation(error)
             return not self.ended
-        row = next((row for row in view.rows if row.key == COORDINATOR_KEY), None)
-        found = decode_json(row.value, CoordinatorRow) if row is not None else None
-        if row is None or found is None or found.vacant or self._is_other(found):
+        found = find_term(view)
+        if found is None or found[0].vacant or self._is_other(found[0]):
             self.end("the row no longer names this instance")
             return False
-        self._term, self._term_version = found, row.version
+        self._term, self._term_version = found
         self._note_confirmation(began)
         return True
 
@@ -330,9 +330,7 @@
                 self.end(f"no renewal confirmed for {age_s:.1f} s: {error}")
 
     async def _write_term(self, row: CoordinatorRow) -> None:
-        stored = StoreRow(
-            key=COORDINATOR_KEY, value=encode_json(row), version=self._term_version
-        )
+        stored = make_term_row(row, self._term_version)
         self._term_version = await self._store.write(COORDINATOR_TABLE, stored)
         self._term = row
 
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -5,12 +5,7 @@
 from time import monotonic
 from uuid import uuid4
 
-from plantaincart_schema.codec import (
-    decode_json,
-    decode_packed,
-    encode_json,
-    encode_packed,
-)
+from plantaincart_schema.codec import decode_packed, encode_packed
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
@@ -19,19 +14,19 @@
 )
 from zmq import DEALER, ROUTER, Context
 
-from plantaincart_router.direct.coordinator import (
-    COORDINATOR_KEY,
-    COORDINATOR_TABLE,
-    Coordinator,
-)
+from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.interface import Platform
 from plantaincart_router.direct.noticecodec import pack_notice, unpack_notice
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import (
     StoreConflictError,
-    StoreRow,
     StoreUnavailableError,
 )
+from plantaincart_router.direct.termrow import (
+    COORDINATOR_TABLE,
+    find_term,
+    make_term_row,
+)
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 from plantaincart_router.socket import LoopSocket
@@ -167,14 +162,14 @@
         gap_s = now - self._row_read_at
         self._row_read_at = now
         self.note_store_answer(now)
-        found = next((row for row in view.rows if row.key == COORDINATOR_KEY), None)
+        found = find_term(view)
         if found is None:
             self._row, self._row_version = None, 0
             return
-        if found.version != self._row_version or gap_s > self._times.unchanged_s * 2:
+        row, version = found
+        if version != self._row_version or gap_s > self._times.unchanged_s * 2:
             self._row_changed_at = now
-        row = decode_json(found.value, CoordinatorRow)
-        old, self._row, self._row_version = self._row, row, found.version
+        old, self._row, self._row_version = self._row, row, version
         if row.vacant:
             return
         if old is None or (old.holder, old.epoch) != (row.holder, row.epoch):
@@ -198,9 +193,7 @@
             beat=0,
             vacant=False,
         )
-        stored = StoreRow(
-            key=COORDINATOR_KEY, value=encode_json(row), version=self._row_version
-        )
+        stored = make_term_row(row, self._row_version)
         try:
             version = await self._platform.store.write(COORDINATOR_TABLE, stored)
         except StoreConflictError:
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -67,8 +67,6 @@
         Whether another upstream has the address, or the key isn't held.
     answered_by : str
         Identity of the upstream that has the address; empty if it isn't named.
-    signed : bool
-        Whether the answer bears the upstream's signature.
     present : int or None
         Requests at the upstream, running and waiting.
     idle_timeout_s : float or None
@@ -78,7 +76,6 @@
     not_run: bool
     misdirected: bool
     answered_by: str
-    signed: bool
     present: int | None
     idle_timeout_s: float | None
 
--- a/packages/router/plantaincart_router/direct/noticecodec.py
+++ b/packages/router/plantaincart_router/direct/noticecodec.py
@@ -1,11 +1,9 @@
 """Coding of the coordinator's notices; long ones are compressed."""
 
 from collections.abc import Sequence
-from zlib import compress, decompressobj
-from zlib import error as CompressionError  # noqa: N812
+from zlib import compress
 
-from plantaincart_schema.codec import decode_packed, encode_packed
-from plantaincart_schema.exception import MalformedMessageError
+from plantaincart_schema.codec import decode_packed, decompress, encode_packed
 from plantaincart_schema.generated.direct import CoordinatorNotice
 
 __all__ = ["pack_notice", "unpack_notice"]
@@ -60,11 +58,4 @@
     """
     if frames[0] != COMPRESSED:
         return decode_packed(frames[-1], CoordinatorNotice)
-    reader = decompressobj()
-    try:
-        data = reader.decompress(frames[-1], MAX_BYTES)
-    except CompressionError as error:
-        raise MalformedMessageError(f"CoordinatorNotice: {error}") from error
-    if not reader.eof:
-        raise MalformedMessageError("CoordinatorNotice: cut off or too long")
-    return decode_packed(data, CoordinatorNotice)
+    return decode_packed(decompress(frames[-1], MAX_BYTES), CoordinatorNotice)
--- a/packages/router/plantaincart_router/direct/ownershiprow.py
+++ b/packages/router/plantaincart_router/direct/ownershiprow.py
@@ -1,10 +1,8 @@
 """Coding of the row that keeps the owners of one service's keys."""
 
-from zlib import compress, decompressobj
-from zlib import error as CompressionError  # noqa: N812
+from zlib import compress
 
-from plantaincart_schema.codec import decode_json, encode_json
-from plantaincart_schema.exception import MalformedMessageError
+from plantaincart_schema.codec import decode_json, decompress, encode_json
 from plantaincart_schema.generated.direct import OwnershipRow
 
 __all__ = ["decode_ownership", "encode_ownership"]
@@ -56,11 +54,4 @@
     MalformedMessageError
         If the bytes aren't such a row.
     """
-    reader = decompressobj()
-    try:
-        text = reader.decompress(value, MAX_TEXT_BYTES)
-    except CompressionError as error:
-        raise MalformedMessageError(f"OwnershipRow: {error}") from error
-    if not reader.eof:
-        raise MalformedMessageError("OwnershipRow: cut off or too long")
-    return decode_json(text, OwnershipRow)
+    return decode_json(decompress(value, MAX_TEXT_BYTES), OwnershipRow)
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -21,6 +21,7 @@
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantRefusedError
 from plantaincart_router.direct.ledger import OwnershipLedger
+from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import StoreUnavailableError
 from plantaincart_router.direct.view import SystemView
@@ -99,16 +100,7 @@
         row : OwnershipRow
             What it wrote last.
         """
-        self.owners = OwnerMap(
-            KeyRange(
-                first=one.first,
-                last=one.last,
-                owner=one.owner,
-                born=one.born,
-                fence=one.fence,
-            )
-            for one in row.ranges
-        )
+        self.owners = OwnerMap(map(read_range, row.ranges))
         for one in row.ranges:
             if one.previous:
                 self._previous[one.first, one.last] = (one.previous, one.previous_born)
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -171,11 +171,12 @@
 
         settings = self._settings.choice
         chosen = choose_cheapest(near, far, measure, settings, self._random)
-        if chosen is None or not self._judge(call, warm[chosen])[1].admitted:
-            # Nothing is refused while any upstream could do it.
-            chosen = min(warm, key=measure)
-        self._admit(call, warm[chosen])
-        return warm[chosen]
+        if chosen is not None and self._judge(call, warm[chosen])[1].admitted:
+            return warm[chosen]
+        # Nothing is refused while any upstream could do it.
+        cheapest = warm[min(warm, key=measure)]
+        self._admit(call, cheapest)
+        return cheapest
 
     def _is_warm_enough(self, call: Call, record: UpstreamRecord, now: float) -> bool:
         left_s = self._view.directory.warmup_left_s(record.id, now)
@@ -252,12 +253,12 @@
 
     def _expect(self, call: Call, record: UpstreamRecord) -> Expectation:
         loads = self._view.loads
-        mean_s = self._mean_work_s.get(call.service.name, self.estimate_work(call))
+        work_s = self.estimate_work(call)
+        mean_s = self._mean_work_s.get(call.service.name, work_s)
         wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, monotonic())
-        work_s = self.estimate_work(call) * loads.get(record.id).slowness
         return Expectation(
             wait_s=wait_s,
-            work_s=work_s,
+            work_s=work_s * loads.get(record.id).slowness,
             left_s=call.left_s,
             target_s=call.route.target_s,
         )
--- a/packages/router/plantaincart_router/direct/tally.py
+++ b/packages/router/plantaincart_router/direct/tally.py
@@ -13,8 +13,6 @@
     "requests": ("Requests ended", ("route", "status", "outcome")),
     "attempts": ("Requests sent to upstreams", ("service", "result")),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
-    "store_feed_losses": ("Times that a table's feed was lost", ("table",)),
-    "log_lines_dropped": ("Log lines left out to bound their volume", ()),
 }
 HISTOGRAMS = {
     "request_seconds": ("Time from the whole request to its answer", ("route",)),
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -318,7 +318,6 @@
             not_run=find_header(answer.headers, "not-run") is not None,
             misdirected=answer.status == 421,
             answered_by=find_header(answer.headers, "answered-by") or "",
-            signed=find_header(answer.headers, "signed") is not None,
             present=int(present) if present else None,
             idle_timeout_s=None,
         )
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -6,11 +6,12 @@
 from time import monotonic
 
 from plantaincart_core.ownermap import KEYS
-from plantaincart_router.direct.coordinator import COORDINATOR_TABLE, OWNERSHIP_TABLE
+from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
 from plantaincart_router.direct.follower import Follower
 from plantaincart_router.direct.interface import Platform
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.settings import ResourceSettings
+from plantaincart_router.direct.termrow import COORDINATOR_TABLE
 from plantaincart_router.direct.tests.fakes import (
     MemoryGrants,
     MemoryStore,
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -17,6 +17,7 @@
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import TableView
 from plantaincart_router.log import write_event
@@ -258,11 +259,11 @@
             else:
                 self._adopt_plan(self._reader.read_plan(row))
         closed_now = frozenset(self._closed_by_row.values())
-        if closed_now != self.directory.closed_data_centres:
+        changed = closed_now != self.directory.closed_data_centres
+        if changed:
             write_event("data_centres_closed", names=sorted(closed_now))
             self.directory.closed_data_centres = closed_now
-            self._note_leaving({})
-        if not self._operators_known:
+        if changed or not self._operators_known:
             self._operators_known = True
             self._note_leaving({})
 
@@ -276,15 +277,7 @@
     def _apply_changes(self, changes: list[MapChange]) -> None:
         for change in changes:
             owners = self.owners.setdefault(change.service, OwnerMap())
-            owners.assign(
-                KeyRange(
-                    first=change.first,
-                    last=change.last,
-                    owner=change.owner,
-                    born=change.born,
-                    fence=change.fence,
-                )
-            )
+            owners.assign(read_range(change))
 
     def _count_members(self, notice: CoordinatorNotice) -> None:
         """Believe a lower count only after a while: a new coordinator starts at 0."""
--- a/packages/schema/plantaincart_schema/codec.py
+++ b/packages/schema/plantaincart_schema/codec.py
@@ -1,6 +1,8 @@
 """Encoding and checked decoding of the generated data classes."""
 
 from typing import Any, TypeVar
+from zlib import decompressobj
+from zlib import error as CompressionError  # noqa: N812
 
 from msgspec import DecodeError, ValidationError
 from msgspec.json import Decoder as JsonDecoder
@@ -10,7 +12,13 @@
 
 from plantaincart_schema.exception import MalformedMessageError
 
-__all__ = ["decode_json", "decode_packed", "encode_json", "encode_packed"]
+__all__ = [
+    "decode_json",
+    "decode_packed",
+    "decompress",
+    "encode_json",
+    "encode_packed",
+]
 
 T = TypeVar("T")
 # Deeply nested input exhausts the recursion limit.
@@ -120,3 +128,40 @@
         return decoder.decode(data)  # type: ignore[no-any-return]
     except _REFUSALS as error:
         raise MalformedMessageError(f"{kind.__name__}: {error}") from error
+
+
+def decompress(data: bytes, max_bytes: int) -> bytes:
+    """
+    Undo the compression of a message, whoever sent it.
+
+    Parameters
+    ----------
+    data : bytes
+        Output of `zlib.compress`.
+    max_bytes : int
+        Longest result.
+
+    Returns
+    -------
+    bytes
+        The message.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the bytes aren't compressed, are cut off, or give more than `max_bytes`.
+
+    Examples
+    --------
+    >>> from zlib import compress
+    >>> decompress(compress(b"map" * 3), 9)
+    b'mapmapmap'
+    """
+    reader = decompressobj()
+    try:
+        whole = reader.decompress(data, max_bytes)
+    except CompressionError as error:
+        raise MalformedMessageError(f"not compressed: {error}") from error
+    if not reader.eof:
+        raise MalformedMessageError(f"cut off, or longer than {max_bytes} bytes")
+    return whole
