Follow the store's tables through the coordinator, and try a lost store in turn

Ruled out: gathering changes for longer, since the bounds on taking changes over leave no room; one reader a data centre, since the coordinator is heard by all anyway. Change: the coordinator passes the changes on with its notices; who misses some asks once, and each follows the store on its own when the coordinator falls silent. It waits 1 s for changes instead of 8 s, so that a silent connection is noticed. While the store doesn't answer it, the others try in turn, 8 calls a second together. Members, the map's history and slowness move out of the coordinator into modules of their own.

--- a/packages/core/plantaincart_core/directory.py
+++ b/packages/core/plantaincart_core/directory.py
@@ -177,6 +177,21 @@
             for upstream in self._removals:
                 self._removals[upstream] = self._trusted_at
 
+    def removals_wait_s(self, now: float) -> float:
+        """Return the seconds for which removals prove nothing after an outage."""
+        return max(0.0, self._trusted_at - now)
+
+    def distrust_removals(self, until: float) -> None:
+        """
+        Keep what vanishes until a time, as after an outage seen here.
+
+        Parameters
+        ----------
+        until : float
+            Time in seconds at which another instance's grace ends.
+        """
+        self._trusted_at = max(self._trusted_at, until)
+
     def expire(self, now: float) -> list[UpstreamRecord]:
         """
         Take out what is still missing after an outage.
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -1,10 +1,8 @@
 """The one instance that places keys: its term, its members and its map."""
 
 from asyncio import Lock, Task, TimerHandle, create_task, get_running_loop, sleep
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
-from statistics import median
 from time import monotonic
 
 from plantaincart_core.ownermap import KeyRange
@@ -15,17 +13,22 @@
     MapChange,
     MemberReport,
     OwnershipRow,
+    TableChange,
 )
 
+from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
 from plantaincart_router.direct.ledger import OwnershipLedger
+from plantaincart_router.direct.maphistory import MapHistory
+from plantaincart_router.direct.membership import Member, Membership
 from plantaincart_router.direct.ownershiprow import (
     decode_ownership,
     encode_ownership,
 )
 from plantaincart_router.direct.placement import ServicePlacement
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.slowness import SlownessBook
 from plantaincart_router.direct.store import (
     Store,
     StoreConflictError,
@@ -46,36 +49,15 @@
 
 # Fencing tokens are the epoch and a sequence number in one integer.
 SEQUENCE_BITS = 24
-# Changes kept for members that lag; one that lags more gets the whole map.
-KEPT_CHANGES = 1000
 STEP_S = 0.1
 # A mean over a time constant halves in the constant times this.
 LN_2 = 0.69
-# Loads go with every notice to this many members, else with every second, third ...;
-# the upstreams' slowness with every so many of these.
-MEMBERS_PER_LOADS = 30
-SLOWNESS_EVERY = 4
-SLOWNESS_WEIGHT = 0.15
 # Seconds for which changes are gathered before they are sent.
 GATHER_S = 0.02
-# Seconds after which a change that a member doesn't know yet is sent again.
-RESEND_S = 0.6
 # Seconds between two new grants of keys that their owner says it doesn't hold.
 REGRANT_PAUSE_S = 1.0
 
 
-class _Member:
-    """What a live instance reported last."""
-
-    def __init__(self, report: MemberReport, now: float) -> None:
-        self.report = report
-        self.heard_at = now
-        self.notices = 0
-        self.sent_version = -1
-        self.sent_at = float("-inf")
-        self.complete_at = float("-inf")
-
-
 class Coordinator(OwnershipLedger):
     """
     A term as coordinator.
@@ -96,6 +78,8 @@
         Version of that row.
     notify : callable
         Sends a notice to the member of a name.
+    feeds : sequence of TableFeed
+        Tables that the members follow through this instance.
     idle_since : float
         Time in seconds before which the earlier coordinator last renewed its term.
     earlier_hold_s : float
@@ -124,6 +108,7 @@
         term: CoordinatorRow,
         version: int,
         notify: Callable[[str, CoordinatorNotice], None],
+        feeds: Sequence[TableFeed],
         idle_since: float,
         earlier_hold_s: float,
     ) -> None:
@@ -134,16 +119,16 @@
         self._term = term
         self._term_version = version
         self._notify = notify
+        self._feeds = feeds
         self._granter = Granter(calls, self._times, settings.bounds.max_hold_s)
         self._normal_hold_s = self._granter.hold_s
         self._placements: dict[str, ServicePlacement] = {}
         self._row_versions: dict[str, int] = {}
         self._write_lock = Lock()
         self._sequence = 0
-        self._changes: deque[MapChange] = deque(maxlen=KEPT_CHANGES)
-        self._map_version = 0
-        self._members: dict[str, _Member] = {}
-        self._slowness: dict[str, float] = {}
+        self._map = MapHistory()
+        self._members = Membership(self._times)
+        self._slowness = SlownessBook()
         self._regranted: dict[tuple[str, int], float] = {}
         self._confirmed_at = monotonic()
         self._doubt = False
@@ -163,6 +148,9 @@
     def start(self) -> None:
         """Begin the term's work."""
         write_event("term_started", epoch=self.epoch)
+        for feed in self._feeds:
+            feed.leads = True
+            feed.wake()
         self._tasks = [
             create_task(self._run_guarded("renew_term", self._renew_term)),
             create_task(self._run_guarded("place", self._place)),
@@ -181,7 +169,9 @@
             placement.stop()
         for task in self._tasks:
             task.cancel()
-        for name in self._members:
+        for feed in self._feeds:
+            feed.leads = False
+        for name in self._members.list_names():
             self._notify(name, self._make_notice(name, resigned=True))
         if self._flush is not None:
             self._flush.cancel()
@@ -216,24 +206,13 @@
         if report.epoch > self.epoch:
             self.end("a later epoch is known")
             return
-        now = monotonic()
-        if report.leaving:
-            self._members.pop(report.member, None)
-        member = self._members.get(report.member)
-        if member is None or member.report.incarnation != report.incarnation:
-            member = self._members[report.member] = _Member(report, now)
-        member.report, member.heard_at = report, now
+        member = self._members.note(report, monotonic())
         self._take_loads(report)
-        member.notices += 1
         loads = None
-        if member.notices % self._count_notices_per_loads() == 0:
-            loads = self._sum_in_flight()
+        if self._members.wants_loads(member):
+            loads = self._members.sum_in_flight()
         self._notify(report.member, self._make_notice(report.member, loads))
 
-    def _count_notices_per_loads(self) -> int:
-        """Return how many notices to a member go by until one tells it of loads."""
-        return -(-len(self._members) // MEMBERS_PER_LOADS)
-
     def next_fence(self) -> int:
         """Return a fencing token above all that were ever given."""
         self._sequence += 1
@@ -250,19 +229,21 @@
                 await self._resolve_conflict(service)
                 await self._write_row(service, describe(self.epoch, self._sequence))
 
-    def publish(self, service: str, changes: list[KeyRange]) -> None:
-        """Tell the members of new owners."""
-        for keys in changes:
-            self._map_version += 1
-            self._changes.append(_make_change(service, keys))
-        if self._flush is None:
+    def publish(self, service: str, keys: KeyRange, free_in_s: float = 0.0) -> None:
+        """Tell the members of a new owner."""
+        self._map.add([_make_change(service, keys, free_in_s)])
+        self.announce()
+
+    def announce(self) -> None:
+        """Tell the members soon of what has changed."""
+        if self._flush is None and not self.ended:
             self._flush = get_running_loop().call_later(GATHER_S, self._send_changes)
 
     def _send_changes(self) -> None:
         self._flush = None
         if self.ended:
             return
-        for name in list(self._members):
+        for name in self._members.list_names():
             self._notify(name, self._make_notice(name))
 
     async def _run_guarded(self, name: str, work) -> None:  # type: ignore[no-untyped-def]
@@ -314,18 +295,14 @@
         now = monotonic()
         age_s = now - self._confirmed_at
         self._doubt = True
-        self._forget_members(now)
-        silences = [
-            one.report.store_silent_s
-            for name, one in self._members.items()
-            if name != self._term.holder
-        ]
+        self._members.forget_silent(now)
+        silences = self._members.list_silences(but=self._term.holder)
         if any(0.0 <= silence < self._times.reached_s for silence in silences):
             self.end(f"the store answers others, but not this instance: {error}")
         elif age_s > self._times.confirmed_s:
-            nobody = bool(silences) and all(
-                silence >= self._times.reached_s for silence in silences
-            )
+            # Members that haven't tried the store yet say so by a negative time.
+            known = [silence for silence in silences if silence >= 0.0]
+            nobody = bool(known) and min(known) >= self._times.reached_s
             if not nobody or age_s > self._times.offline_s:
                 self.end(f"no renewal confirmed for {age_s:.1f} s: {error}")
 
@@ -378,7 +355,7 @@
         for found in rows:
             self._placements[found.service].start_resumed()
         self._resumed = True
-        self._map_version += 1
+        self._map.skip_version()
         write_event("placements_resumed", services=len(rows))
 
     def _extend_holds(self, row: OwnershipRow) -> None:
@@ -400,7 +377,7 @@
 
     async def _step(self) -> None:
         now = monotonic()
-        self._forget_members(now)
+        self._members.forget_silent(now)
         self._decay(now)
         self._view.expire()
         plan = self._view.plan
@@ -432,10 +409,7 @@
             if placement is not None:
                 work_s = [work / 1000.0 for work in load.work_ms]
                 placement.add_load(load.keys, work_s)
-        for upstream, ratio in report.slowness.items():
-            known = self._slowness.get(upstream, 1.0)
-            known += SLOWNESS_WEIGHT * (ratio - known)
-            self._slowness[upstream] = known
+        self._slowness.take(report.slowness)
         now = monotonic()
         for refused in report.refusing:
             placement = self._placements.get(refused.service)
@@ -448,12 +422,6 @@
                 self._regranted[name] = now
                 self._granter.refused.append(keys)
 
-    def _forget_members(self, now: float) -> None:
-        for name, member in list(self._members.items()):
-            if now - member.heard_at > self._times.member_s:
-                del self._members[name]
-                write_event("member_lost", member=name)
-
     def _make_notice(
         self,
         name: str,
@@ -461,74 +429,55 @@
         resigned: bool = False,
     ) -> CoordinatorNotice:
         member = self._members.get(name)
-        seen = self._find_seen_version(member)
-        behind = self._map_version - seen
-        complete = self._resumed and (seen < 0 or behind > len(self._changes))
-        if complete:
-            changes = self._describe_map()
-        else:
-            changes = list(self._changes)[max(0, len(self._changes) - behind) :]
+        changes: list[MapChange] | None = []
         slowness: dict[str, float] = {}
+        tables: list[TableChange] = []
         if member is not None:
-            member.sent_version, member.sent_at = self._map_version, monotonic()
-            if complete:
-                member.complete_at = member.sent_at
-            slowness_every = SLOWNESS_EVERY * self._count_notices_per_loads()
-            if in_flight is not None and member.notices % slowness_every == 0:
+            if self._resumed:
+                changes = self._map.list_since(member.find_map_version(self.epoch))
+            tables = self._describe_tables(member)
+            member.note_map(self._map.version, changes is None)
+            if in_flight is not None and self._members.wants_slowness(member):
                 slowness = self._compare_slowness()
         return CoordinatorNotice(
             coordinator=self._term.holder,
             epoch=self.epoch,
             members=len(self._members),
-            rank=sorted(self._members).index(name) if member else 0,
-            map_version=self._map_version,
-            complete=complete,
+            rank=self._members.list_names().index(name) if member else 0,
+            map_version=self._map.version,
+            complete=changes is None,
             resigned=resigned,
             hold_s=self._granter.hold_s,
             doubt=self._doubt,
-            changes=changes if self._resumed else [],
+            changes=self._describe_map() if changes is None else changes,
             in_flight=in_flight or {},
             slowness=slowness,
+            tables=tables,
+            removals_wait_s=self._view.directory.removals_wait_s(monotonic()),
         )
 
+    def _describe_tables(self, member: Member) -> list[TableChange]:
+        """Describe what the member doesn't know of the followed tables."""
+        described = []
+        for feed in self._feeds:
+            version = member.find_table_version(feed.table)
+            change = None if version is None else feed.describe_since(version)
+            if change is not None:
+                described.append(change)
+        member.note_tables({change.table: change.version for change in described})
+        return described
+
     def _compare_slowness(self) -> dict[str, float]:
-        """Relate each upstream's slowness to the median of its service."""
-        by_service: dict[str, dict[str, float]] = {}
-        for upstream, value in self._slowness.items():
-            record = self._view.directory.get(upstream)
-            if record is not None:
-                by_service.setdefault(record.service, {})[upstream] = value
-        return {
-            upstream: round(value / max(median(values.values()), 0.1), 2)
-            for values in by_service.values()
-            for upstream, value in values.items()
-        }
-
-    def _find_seen_version(self, member: _Member | None) -> int:
-        """Return the version of the map that a member has or is about to get."""
-        if member is None:
-            return self._map_version
-        report = member.report
-        reported = report.map_version if report.epoch == self.epoch else -1
-        since = member.sent_at if reported >= 0 else member.complete_at
-        if monotonic() - since < RESEND_S:
-            return max(reported, member.sent_version)
-        return reported
+        services = {one.id: one.service for one in self._view.directory}
+        return self._slowness.compare(services)
 
     def _describe_map(self) -> list[MapChange]:
         return [
-            _make_change(service, keys)
+            _make_change(service, keys, free_in_s)
             for service, placement in self._placements.items()
-            for keys in placement.describe()
+            for keys, free_in_s in placement.describe()
         ]
 
-    def _sum_in_flight(self) -> dict[str, int]:
-        total: dict[str, int] = {}
-        for member in self._members.values():
-            for upstream, count in member.report.in_flight.items():
-                total[upstream] = total.get(upstream, 0) + count
-        return total
-
 
 def _read_ownership(row: StoreRow) -> OwnershipRow | None:
     try:
@@ -538,7 +487,7 @@
         return None
 
 
-def _make_change(service: str, keys: KeyRange) -> MapChange:
+def _make_change(service: str, keys: KeyRange, free_in_s: float) -> MapChange:
     return MapChange(
         service=service,
         first=keys.first,
@@ -546,4 +495,5 @@
         owner=keys.owner,
         born=keys.born,
         fence=keys.fence,
+        free_in_s=round(free_in_s, 2),
     )
--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -1,13 +1,20 @@
-"""Following one table of the store."""
+"""Following one table of the store, directly or through the coordinator."""
 
 from abc import ABC, abstractmethod
-from asyncio import sleep
+from asyncio import Event, sleep, timeout
+from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from time import monotonic
 
+from plantaincart_schema.generated.direct import ChangedRow, TableChange
+
+from plantaincart_router.direct.history import TableHistory
+from plantaincart_router.direct.settings import FeedSettings
 from plantaincart_router.direct.store import (
     HistoryLostError,
     Store,
+    StoreRow,
     StoreUnavailableError,
     TableView,
 )
@@ -56,63 +63,216 @@
         Table to follow.
     sink : TableSink
         Takes over what is read.
-    wait_s : float
-        Seconds after which a call that finds no change ends.
+    settings : FeedSettings
+        Times.
+    note_change : callable, optional
+        Called after changes were taken over.
+
+    Attributes
+    ----------
+    table : str
+        Table that is followed.
+    leads : bool
+        Whether others follow the table through this instance. It then asks the store
+        without regard to what it is told, and at short intervals, so that a
+        connection that has gone silent is noticed soon.
+
+    Notes
+    -----
+    While the coordinator passes the changes on, the store isn't asked: one reader
+    serves all instances. One that misses changes asks for them itself, and when the
+    coordinator falls silent each instance follows the store on its own again.
     """
 
     def __init__(
-        self, store: Store, table: str, sink: TableSink, wait_s: float
+        self,
+        store: Store,
+        table: str,
+        sink: TableSink,
+        settings: FeedSettings,
+        note_change: Callable[[], None] | None = None,
     ) -> None:
-        self._wait_s = wait_s
+        self._settings = settings
         self._store = store
-        self._table = table
         self._sink = sink
+        self._note_change = note_change
         self._random = Random()
-        self._version: int | None = None
+        self._history = TableHistory()
         self._away = False
         self._pause_s = FIRST_PAUSE_S
-        self.answered_at = monotonic()
+        self._told_until = float("-inf")
+        self._told_version = 0
+        self._woken = Event()
+        self.table = table
+        self.leads = False
+
+    @property
+    def version(self) -> int | None:
+        """Version of the store that was taken over; None before the first read."""
+        return self._history.version
+
+    def describe_since(self, version: int) -> TableChange | None:
+        """
+        Describe the changes after a version, for another instance.
+
+        Parameters
+        ----------
+        version : int
+            Version that the other has reached.
+
+        Returns
+        -------
+        TableChange or None
+            None while the store doesn't answer. If changes are missing, the other is
+            told only how far it lags.
+        """
+        known = self._history.version
+        if self._away or known is None:
+            return None
+        rows = self._history.list_since(version)
+        return TableChange(
+            table=self.table,
+            after=known if rows is None else min(version, known),
+            version=known,
+            rows=[_pack_row(row) for row in rows or ()],
+        )
+
+    def take_change(self, change: TableChange) -> None:
+        """Take over what the coordinator passes on."""
+        known = self._history.version
+        if known is None or self.leads:
+            return
+        self._told_until = monotonic() + self._settings.told_lasts_s
+        if change.after > known:
+            write_event(
+                "table_lags", table=self.table, version=known, told=change.version
+            )
+            self._told_version = max(self._told_version, change.version)
+            self._woken.set()
+            return
+        self._note_answer()
+        if change.version <= known:
+            return
+        rows = [_unpack_row(row) for row in change.rows]
+        self._adopt(TableView(rows=rows, version=change.version))
+
+    def note_outage(self) -> None:
+        """Take over that the coordinator gets no answer; others try the store now."""
+        if self._history.version is None or self.leads:
+            return
+        self._told_until = monotonic() + self._settings.told_lasts_s
+        self._note_loss("as the coordinator says")
+
+    def note_reached(self) -> None:
+        """Ask the store again, since it answers this instance."""
+        self._told_until = float("-inf")
+        self._woken.set()
+
+    def wake(self) -> None:
+        """End a wait, since the role of this instance has changed."""
+        self._woken.set()
 
     async def follow(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            if self._is_told:
+                await self._wait_told()
+                continue
             try:
                 await self._step()
             except HistoryLostError:
-                write_event("store_history_lost", table=self._table)
-                self._version = None
+                write_event("store_history_lost", table=self.table)
+                self._history = TableHistory()
             except StoreUnavailableError as error:
                 await self._wait_out(error)
 
+    @property
+    def _is_told(self) -> bool:
+        known = self._history.version
+        return (
+            known is not None
+            and not self.leads
+            and known >= self._told_version
+            and monotonic() < self._told_until
+        )
+
+    async def _wait_told(self) -> None:
+        self._woken.clear()
+        try:
+            async with timeout(max(0.0, self._told_until - monotonic())):
+                await self._woken.wait()
+        except TimeoutError:
+            # The coordinator may have spoken meanwhile; the caller looks.
+            return
+
     async def _step(self) -> None:
-        if self._version is None:
-            view = await self._store.read(self._table)
+        known = self._history.version
+        if known is None:
+            view = await self._store.read(self.table)
             self._note_answer()
-            self._sink.replace_table(self._table, view)
-        else:
-            # After an outage the first answer shows that the store is back, so it
-            # must not wait for a change.
-            wait_s = 0.0 if self._away else self._wait_s
-            view = await self._store.watch(self._table, self._version, wait_s)
-            self._note_answer()
-            if view.rows:
-                self._sink.change_table(self._table, view)
-                # Changes come in groups; one call then brings several.
-                await sleep(self._sink.choose_gather_s())
-        self._version = max(view.version, self._version or 0)
+            self._history.restart(view.version)
+            self._sink.replace_table(self.table, view)
+            self._announce()
+            return
+        view = await self._store.watch(self.table, known, self._choose_wait_s(known))
+        self._note_answer()
+        if self._adopt(view):
+            # Changes come in groups; one call then brings several.
+            few = self._settings.gather_s
+            await sleep(few if self.leads else self._sink.choose_gather_s())
+
+    def _choose_wait_s(self, known: int) -> float:
+        # After an outage the first answer shows that the store is back, and one that
+        # lags wants to know what there is: neither must wait for a change.
+        if self._away or known < self._told_version:
+            return 0.0
+        return self._settings.lead_wait_s if self.leads else self._settings.wait_s
+
+    def _adopt(self, view: TableView) -> bool:
+        """Take over the changes that aren't known yet; say whether there were any."""
+        known = self._history.version or 0
+        rows = [
+            replace(row, version=row.version or view.version)
+            for row in view.rows
+            if row.version > known or not row.version
+        ]
+        fresh = TableView(rows=rows, version=view.version)
+        self._history.add(fresh)
+        if rows:
+            self._sink.change_table(self.table, fresh)
+            self._announce()
+        return bool(rows)
+
+    def _announce(self) -> None:
+        if self._note_change is not None:
+            self._note_change()
 
     def _note_answer(self) -> None:
-        self.answered_at = monotonic()
         self._pause_s = FIRST_PAUSE_S
         if self._away:
             self._away = False
-            write_event("store_regained", table=self._table)
+            write_event("store_regained", table=self.table)
             self._sink.regain_store()
 
-    async def _wait_out(self, error: StoreUnavailableError) -> None:
+    def _note_loss(self, detail: str) -> None:
         if not self._away:
             self._away = True
-            write_event("store_lost", table=self._table, error=str(error))
+            write_event("store_lost", table=self.table, detail=detail)
             self._sink.lose_store()
+
+    async def _wait_out(self, error: StoreUnavailableError) -> None:
+        self._note_loss(str(error))
         await sleep(self._pause_s * (0.5 + self._random.random()))
         self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2.0)
+
+
+def _pack_row(row: StoreRow) -> ChangedRow:
+    return ChangedRow(
+        key=row.key, value=row.value, version=row.version, deleted=row.deleted
+    )
+
+
+def _unpack_row(row: ChangedRow) -> StoreRow:
+    return StoreRow(
+        key=row.key, value=row.value, version=row.version, deleted=row.deleted
+    )
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -1,6 +1,7 @@
 """An instance's tie to the coordinator, and its candidacy when that is lost."""
 
 from asyncio import Task, create_task, sleep
+from collections.abc import Sequence
 from random import Random
 from time import monotonic
 from uuid import uuid4
@@ -15,6 +16,7 @@
 from zmq import DEALER, ROUTER, Context
 
 from plantaincart_router.direct.coordinator import Coordinator
+from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.interface import Platform
 from plantaincart_router.direct.noticecodec import pack_notice, unpack_notice
 from plantaincart_router.direct.settings import DirectSettings
@@ -56,6 +58,8 @@
 
     Attributes
     ----------
+    feeds : sequence of TableFeed
+        Tables that are followed through the coordinator; set before the start.
     coordinator : Coordinator or None
         This instance's own term, if it has one.
     """
@@ -84,9 +88,11 @@
         self._long_hold_at = float("-inf")
         self._doubted_at: float | None = None
         self._probe: Task[None] | None = None
+        self._reaches_store: bool | None = None
         self._leaving = False
         self._task: Task[None] | None = None
         self.coordinator: Coordinator | None = None
+        self.feeds: Sequence[TableFeed] = ()
 
     def start(self, loop) -> None:  # type: ignore[no-untyped-def]
         """Listen for other instances and look for the coordinator."""
@@ -95,6 +101,11 @@
         self._router.bind(self._settings.host, self._settings.peer_port)
         self._task = create_task(self._run())
 
+    def announce(self) -> None:
+        """Tell others soon of a change, if this instance is the coordinator."""
+        if self.coordinator is not None:
+            self.coordinator.announce()
+
     def note_store_answer(self, at: float) -> None:
         """Note when the store last answered anything."""
         self._store_answered_at = max(self._store_answered_at, at)
@@ -209,6 +220,7 @@
             row,
             version,
             self._notify,
+            self.feeds,
             idle_since=self._row_changed_at,
             earlier_hold_s=self._guess_earlier_hold(),
         )
@@ -265,6 +277,11 @@
             in_flight=view.loads.list_in_flight(),
             slowness=view.loads.take_ratios(),
             refusing=view.take_refusing(),
+            tables={
+                feed.table: feed.version
+                for feed in self.feeds
+                if feed.version is not None
+            },
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
@@ -272,31 +289,47 @@
             self._dealer.send([encode_packed(report)])
 
     def _measure_silence(self) -> float:
-        if self._doubted_at is None:
+        if self._doubted_at is None or self._reaches_store is None:
             return -1.0
-        answered_at = max(self._store_answered_at, self._doubted_at)
-        silence_s = monotonic() - answered_at
-        if answered_at == self._doubted_at and silence_s < self._times.reached_s:
-            # Asked a moment ago; nothing is known yet.
-            return -1.0
-        return round(silence_s, 2)
+        if self._reaches_store:
+            return 0.0
+        since = max(self._store_answered_at, self._doubted_at)
+        return round(max(monotonic() - since, self._times.reached_s), 2)
 
     def _take_doubt(self, doubt: bool) -> None:
         """Try the store while the coordinator gets no answer from it."""
         if not doubt:
             self._doubted_at = None
-        elif self._probe is None or self._probe.done():
-            if self._doubted_at is None:
-                self._doubted_at = monotonic()
+            self._reaches_store = None
+            return
+        if self._doubted_at is None:
+            self._doubted_at = monotonic()
+        if not self._reaches_store:
+            for feed in self.feeds:
+                feed.note_outage()
+        if self._probe is None or self._probe.done():
             self._probe = create_task(self._try_store())
 
     async def _try_store(self) -> None:
+        """Ask the store once, in turn with the other instances."""
+        turn_s = max(
+            self._times.report_s, self._view.members / self._times.probes_per_s
+        )
+        before_s = turn_s * self._random.random()
+        await sleep(before_s)
         try:
             await self._platform.store.read(COORDINATOR_TABLE)
-            self.note_store_answer(monotonic())
         except StoreUnavailableError as error:
+            self._reaches_store = False
             write_event("store_tried", error=str(error))
-        await sleep(self._times.report_s)
+        else:
+            self._reaches_store = True
+            self.note_store_answer(monotonic())
+            for feed in self.feeds:
+                feed.note_reached()
+            # The coordinator gives up when it hears of this, and need not wait.
+            self._report()
+        await sleep(turn_s - before_s)
 
     def _receive_report(self, frames: list[bytes]) -> None:
         try:
@@ -331,4 +364,13 @@
         self._take_doubt(notice.doubt)
         if notice.hold_s > self._times.hold_s:
             self._long_hold_at = self._heard_at
+        self._view.hold_removals(notice.removals_wait_s)
+        self._take_tables(notice)
         self._view.apply_notice(notice)
+
+    def _take_tables(self, notice: CoordinatorNotice) -> None:
+        feeds = {feed.table: feed for feed in self.feeds}
+        for change in notice.tables:
+            feed = feeds.get(change.table)
+            if feed is not None:
+                feed.take_change(change)
--- a/packages/router/plantaincart_router/direct/ledger.py
+++ b/packages/router/plantaincart_router/direct/ledger.py
@@ -37,5 +37,16 @@
         """
 
     @abstractmethod
-    def publish(self, service: str, changes: list[KeyRange]) -> None:
-        """Tell other instances of new owners."""
+    def publish(self, service: str, keys: KeyRange, free_in_s: float = 0.0) -> None:
+        """
+        Tell other instances of a new owner.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        keys : KeyRange
+            Keys and their owner; none while they move.
+        free_in_s : float
+            Seconds until keys without an owner should have one; 0 if that isn't known.
+        """
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -0,0 +1,174 @@
+"""The live instances as the coordinator hears of them."""
+
+from time import monotonic
+
+from plantaincart_schema.generated.direct import MemberReport
+
+from plantaincart_router.direct.settings import CoordinationSettings
+from plantaincart_router.log import write_event
+
+__all__ = ["Member", "Membership"]
+
+# Loads go with every notice to this many members, else with every second, third ...;
+# the upstreams' slowness with every so many of these.
+MEMBERS_PER_LOADS = 30
+SLOWNESS_EVERY = 4
+# Seconds after which a change that a member doesn't know yet is sent again.
+RESEND_S = 0.6
+
+
+class Member:
+    """
+    What a live instance reported last, and what it was sent.
+
+    Parameters
+    ----------
+    report : MemberReport
+        Its first report.
+    now : float
+        Present time in seconds.
+
+    Attributes
+    ----------
+    heard_at : float
+        Time of the last report.
+    notices : int
+        Reports that were answered.
+    """
+
+    def __init__(self, report: MemberReport, now: float) -> None:
+        self.report = report
+        self.heard_at = now
+        self.notices = 0
+        self._map_sent = -1
+        self._map_sent_at = float("-inf")
+        self._whole_map_at = float("-inf")
+        self._tables_sent: dict[str, int] = {}
+        self._tables_sent_at = float("-inf")
+
+    def find_map_version(self, epoch: int) -> int:
+        """
+        Return the version of the map that the member has or is about to get.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the term; versions of other epochs don't count.
+
+        Returns
+        -------
+        int
+            Negative if it has none.
+        """
+        reported = self.report.map_version if self.report.epoch == epoch else -1
+        since = self._map_sent_at if reported >= 0 else self._whole_map_at
+        if monotonic() - since < RESEND_S:
+            return max(reported, self._map_sent)
+        return reported
+
+    def note_map(self, version: int, whole: bool) -> None:
+        """Note which version of the map was sent."""
+        self._map_sent, self._map_sent_at = version, monotonic()
+        if whole:
+            self._whole_map_at = self._map_sent_at
+
+    def find_table_version(self, table: str) -> int | None:
+        """Return the version of a table that the member has or is about to get."""
+        reported = self.report.tables.get(table)
+        if reported is None:
+            return None
+        if monotonic() - self._tables_sent_at < RESEND_S:
+            return max(reported, self._tables_sent.get(table, reported))
+        return reported
+
+    def note_tables(self, versions: dict[str, int]) -> None:
+        """Note up to which versions changes of the tables were sent."""
+        if any(self.report.tables.get(name) != one for name, one in versions.items()):
+            self._tables_sent_at = monotonic()
+        self._tables_sent = versions
+
+
+class Membership:
+    """
+    Instances that reported lately.
+
+    Parameters
+    ----------
+    times : CoordinationSettings
+        Times of the coordinator.
+    """
+
+    def __init__(self, times: CoordinationSettings) -> None:
+        self._times = times
+        self._members: dict[str, Member] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def list_names(self) -> list[str]:
+        """Return the members in the order of their ranks."""
+        return sorted(self._members)
+
+    def get(self, name: str) -> Member | None:
+        """Return a member, or None."""
+        return self._members.get(name)
+
+    def note(self, report: MemberReport, now: float) -> Member:
+        """
+        Take a report.
+
+        Parameters
+        ----------
+        report : MemberReport
+            What an instance says.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        Member
+            A new one if the instance's process is new, or leaves.
+        """
+        if report.leaving:
+            self._members.pop(report.member, None)
+        member = self._members.get(report.member)
+        if member is None or member.report.incarnation != report.incarnation:
+            member = self._members[report.member] = Member(report, now)
+        member.report, member.heard_at = report, now
+        member.notices += 1
+        return member
+
+    def forget_silent(self, now: float) -> None:
+        """Drop instances that haven't reported for too long."""
+        for name, member in list(self._members.items()):
+            if now - member.heard_at > self._times.member_s:
+                del self._members[name]
+                write_event("member_lost", member=name)
+
+    def list_silences(self, but: str) -> list[float]:
+        """Return how long the store has been silent to each member but one."""
+        return [
+            member.report.store_silent_s
+            for name, member in self._members.items()
+            if name != but
+        ]
+
+    def sum_in_flight(self) -> dict[str, int]:
+        """Return the requests of all members by upstream."""
+        total: dict[str, int] = {}
+        for member in self._members.values():
+            for upstream, count in member.report.in_flight.items():
+                total[upstream] = total.get(upstream, 0) + count
+        return total
+
+    def wants_loads(self, member: Member) -> bool:
+        """Whether the next notice to a member tells it of loads."""
+        return member.notices % self._count_notices_per_loads() == 0
+
+    def wants_slowness(self, member: Member) -> bool:
+        """Whether the next notice to a member tells it which upstreams are slow."""
+        every = SLOWNESS_EVERY * self._count_notices_per_loads()
+        return member.notices % every == 0
+
+    def _count_notices_per_loads(self) -> int:
+        return -(-len(self._members) // MEMBERS_PER_LOADS)
--- a/packages/router/plantaincart_router/direct/node.py
+++ b/packages/router/plantaincart_router/direct/node.py
@@ -65,9 +65,16 @@
         self.follower = Follower(settings, self.view, platform)
         reader = platform.reader
         self._feeds = [
-            TableFeed(platform.store, table, self.view, settings.feed.wait_s)
+            TableFeed(
+                platform.store,
+                table,
+                self.view,
+                settings.feed,
+                self.follower.announce,
+            )
             for table in (reader.operator_table, reader.upstream_table)
         ]
+        self.follower.feeds = self._feeds
         self._tasks: list[Task[None]] = []
         self._leaving = False
 
--- a/packages/router/plantaincart_router/direct/ownerless.py
+++ b/packages/router/plantaincart_router/direct/ownerless.py
@@ -1,4 +1,6 @@
-"""For how long ranges of keys have been without an owner."""
+"""For how long ranges of keys have been without an owner, and will be."""
+
+from plantaincart_core.ownermap import KeyRange
 
 __all__ = ["OwnerlessRanges"]
 
@@ -6,6 +8,8 @@
 UNSEEN_S = 2.0
 # Ranges above which those without requests are looked for.
 MANY = 1000
+# Seconds after which an estimate that didn't come true is dropped.
+OVERDUE_S = 0.5
 
 
 class OwnerlessRanges:
@@ -32,6 +36,64 @@
 
     def __init__(self) -> None:
         self._seen: dict[tuple[str, int], tuple[float, float]] = {}
+        self._free_at: dict[tuple[str, int, int], float] = {}
+
+    def expect(self, service: str, keys: KeyRange, free_at: float) -> None:
+        """
+        Note when keys should have an owner again.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        keys : KeyRange
+            Keys that nobody owns.
+        free_at : float
+            Time in seconds.
+        """
+        self._free_at[service, keys.first, keys.last] = free_at
+
+    def forget(self, service: str, keys: KeyRange) -> None:
+        """Drop estimates for keys that have an owner."""
+        self._free_at.pop((service, keys.first, keys.last), None)
+
+    def estimate_wait(self, service: str, key: int, now: float) -> float | None:
+        """
+        Estimate the seconds until a key has an owner.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        key : int
+            The key.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds, 0 if the estimate is a little overdue; None if nothing is known.
+
+        Examples
+        --------
+        >>> ranges = OwnerlessRanges()
+        >>> ranges.expect("ledger", KeyRange(first=0, last=9), free_at=12.0)
+        >>> ranges.estimate_wait("ledger", 5, now=10.0)
+        2.0
+        >>> ranges.estimate_wait("ledger", 10, now=10.0) is None
+        True
+        """
+        if not self._free_at:
+            return None
+        overdue = now - OVERDUE_S
+        self._free_at = {name: at for name, at in self._free_at.items() if at > overdue}
+        waits = [
+            max(0.0, at - now)
+            for (name, first, last), at in self._free_at.items()
+            if name == service and first <= key <= last
+        ]
+        return max(waits, default=None)
 
     def note(self, service: str, first: int, now: float) -> float:
         """
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -36,6 +36,10 @@
 # Pieces into which the keys of a lost owner are divided at most.
 ORPHAN_PIECES = 4
 GRANT_PAUSE_S = 0.1
+# Seconds that a release is taken to last before any was measured, and the part of a
+# new measurement in the mean.
+RELEASE_GUESS_S = 0.4
+RELEASE_WEIGHT = 0.1
 # Seconds without a new upstream before keys are divided for the first time.
 SETTLE_S = 1.0
 # Attempts to grant keys to a new owner before another one is chosen.
@@ -80,6 +84,8 @@
         self._granter = granter
         self._ledger = ledger
         self._moving: list[KeyRange] = []
+        self._free_at: dict[KeyRange, float] = {}
+        self._release_s = RELEASE_GUESS_S
         self._previous: dict[tuple[int, int], tuple[str, int]] = {}
         self._failed: set[KeyRange] = set()
         self._tasks: set[Task[None]] = set()
@@ -139,12 +145,17 @@
                 self._moving.append(renewed)
                 self._spawn(self._finish(renewed, held))
 
-    def describe(self) -> list[KeyRange]:
-        """Return the map as other instances should see it."""
+    def describe(self) -> list[tuple[KeyRange, float]]:
+        """Return the map as others should see it, with seconds until keys are free."""
         shown = OwnerMap(self.owners)
+        now = monotonic()
+        waits: dict[int, float] = {}
         for keys in self._moving:
             shown.assign(KeyRange(first=keys.first, last=keys.last))
-        return list(shown)
+            waits[keys.first] = max(0.0, self._free_at.get(keys, now) - now)
+        return [
+            (keys, 0.0 if keys.owner else waits.get(keys.first, 0.0)) for keys in shown
+        ]
 
     def describe_row(self, epoch: int, sequence: int) -> OwnershipRow:
         """Return the row that keeps the decisions."""
@@ -240,7 +251,7 @@
             return
         if held:
             self._granter.stand(self._service, record, keys)
-            self._ledger.publish(self._service, [keys])
+            self._ledger.publish(self._service, keys)
         else:
             await sleep(GRANT_PAUSE_S)
             self._granter.refused.append(keys)
@@ -480,11 +491,23 @@
             if one.owner and not self._is_moving(one) and one != keys:
                 self._restand(one, keys)
         self._moving.append(keys)
+        free_in_s = max((self._estimate_free(one) for one in held), default=0.0)
+        self._free_at[keys] = monotonic() + free_in_s
         self._ledger.publish(
-            self._service, [KeyRange(first=keys.first, last=keys.last)]
+            self._service, KeyRange(first=keys.first, last=keys.last), free_in_s
         )
         self._spawn(self._finish(keys, held))
 
+    def _estimate_free(self, held: KeyRange) -> float:
+        """Estimate the seconds until an earlier holder no longer holds keys."""
+        if not held.owner:
+            return 0.0
+        left_s = self._granter.hold_end(held.owner, held.born) - monotonic()
+        reached = self._find_record(held.owner, held.born) is not None
+        if reached and not self._granter.is_failing(held.owner, held.born):
+            return self._release_s
+        return max(left_s, 0.0)
+
     def _restand(self, one: KeyRange, moved: KeyRange) -> None:
         if one.last + 1 != moved.first and one.first != moved.last + 1:
             return
@@ -506,10 +529,11 @@
         record = self._find_record(keys.owner, keys.born)
         granted = record is not None and await self._grant(record, keys, handover)
         self._moving.remove(keys)
+        self._free_at.pop(keys, None)
         self._previous.pop((keys.first, keys.last), None)
         if granted and record is not None:
             self._granter.stand(self._service, record, keys)
-            self._ledger.publish(self._service, [keys])
+            self._ledger.publish(self._service, keys)
         else:
             self._failed.add(keys)
             write_event(
@@ -530,7 +554,11 @@
         record = self._records.get((held.owner, held.born))
         if record is not None:
             part = replace(keys, first=held.first, last=held.last)
+            began = monotonic()
             token = await self._granter.release(record, part)
+            if token is not None:
+                spent_s = monotonic() - began
+                self._release_s += RELEASE_WEIGHT * (spent_s - self._release_s)
             return token or ""
         left_s = self._granter.hold_end(held.owner, held.born) - monotonic()
         if left_s > 0.0:
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -101,6 +101,12 @@
     ----------
     wait_s : float
         Seconds after which a call that finds no change ends.
+    lead_wait_s : float
+        The same for the coordinator, through which the others follow the tables; a
+        connection that has gone silent must be noticed within the bounds.
+    told_lasts_s : float
+        Seconds after the coordinator's last notice in which the store isn't asked;
+        three intervals between notices.
     gather_s : float
         Least time in seconds from a change to the next call, which brings all
         changes made meanwhile.
@@ -112,6 +118,8 @@
     """
 
     wait_s: float = 8.0
+    lead_wait_s: float = 1.0
+    told_lasts_s: float = 0.75
     gather_s: float = 0.2
     member_gather_s: float = 0.018
     bound_share: float = 0.4
@@ -253,6 +261,9 @@
         Further delay in seconds of the weakest candidates, so that others go first.
     offline_s : float
         As `confirmed_s`, while all instances report that they don't reach the store.
+    probes_per_s : float
+        Calls a second by which all instances together try a store that doesn't answer
+        the coordinator; each call is charged for.
     member_s : float
         Seconds after its last report for which an instance counts as live.
     hold_s : float
@@ -282,6 +293,7 @@
     candidate_s: float = 0.15
     weak_candidate_s: float = 0.5
     offline_s: float = 30.0
+    probes_per_s: float = 8.0
     member_s: float = 1.5
     hold_s: float = 3.0
     renew_s: float = 0.75
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -40,6 +40,7 @@
     confirmed_s=0.3,
     reached_s=0.08,
     offline_s=3.0,
+    probes_per_s=60.0,
     member_s=0.3,
     hold_s=0.5,
     renew_s=0.1,
--- a/packages/router/plantaincart_router/direct/tests/test_feed.py
+++ b/packages/router/plantaincart_router/direct/tests/test_feed.py
@@ -58,7 +58,9 @@
 async def test_many_starting_upstreams_cost_a_fleet_few_calls(members: int) -> None:
     store = MemoryStore()
     client, keys = CountingClient(store), Keys(members)
-    following = create_task(TableFeed(client, "upstreams", keys, 8.0).follow())
+    following = create_task(
+        TableFeed(client, "upstreams", keys, FeedSettings()).follow()
+    )
     count = round(STARTING_S / CHANGE_EVERY_S)
     for number in range(count):
         store.put("upstreams", str(number), b"")
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -0,0 +1,258 @@
+"""One reader of the store's tables for a whole fleet."""
+
+from asyncio import create_task, get_running_loop, sleep
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+from plantaincart_router.direct.feed import TableFeed, TableSink
+from plantaincart_router.direct.settings import FeedSettings
+from plantaincart_router.direct.store import StoreUnavailableError
+from plantaincart_router.direct.tests.fakes import MemoryClient, MemoryStore
+from plantaincart_router.direct.tests.test_coordinator import System, wait_for
+
+TIMES = FeedSettings(
+    wait_s=0.1, lead_wait_s=0.05, told_lasts_s=0.15, gather_s=0.02, member_gather_s=0.0
+)
+TABLE = "upstreams"
+# Seconds from a change at the coordinator to its effect at a member, over loopback.
+PASSED_ON_S = 0.3
+
+
+class CountingStore(MemoryClient):
+    """Waits for changes as the store does, and counts the calls."""
+
+    def __init__(self, store, name):
+        super().__init__(store, name)
+        self.calls = 0
+        self.wait_s = 0.0
+
+    async def watch(self, table, after, wait_s):
+        self.calls += 1
+        self.wait_s = wait_s
+        view = await super().watch(table, after, wait_s)
+        if not view.rows:
+            await sleep(wait_s)
+            view = await super().watch(table, after, wait_s)
+        return view
+
+
+class Rows(TableSink):
+    """Remembers the rows, and whether the store was lost."""
+
+    def __init__(self):
+        self.rows = {}
+        self.lost = False
+
+    def replace_table(self, table, view):
+        self.rows = {row.key: row.value for row in view.rows}
+
+    def change_table(self, table, view):
+        for row in view.rows:
+            if row.deleted:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row.value
+
+    def lose_store(self):
+        self.lost = True
+
+    def regain_store(self):
+        self.lost = False
+
+    def choose_gather_s(self):
+        return TIMES.gather_s
+
+
+class Reader:
+    """A feed of one instance."""
+
+    def __init__(self, store, name, leads=False):
+        self.client = CountingStore(store, name)
+        self.sink = Rows()
+        self.feed = TableFeed(self.client, TABLE, self.sink, TIMES)
+        self.feed.leads = leads
+        self.task = create_task(self.feed.follow())
+
+    def tell(self, other):
+        """Pass on what the other doesn't know, as a notice would."""
+        change = self.feed.describe_since(other.feed.version)
+        if change is not None:
+            other.feed.take_change(change)
+        return change
+
+
+@asynccontextmanager
+async def read_at_second_hand():
+    """Yield a store, the coordinator's reader, and that of a member."""
+    store = MemoryStore()
+    store.put(TABLE, "u0", b"0")
+    leader = Reader(store, "leader", leads=True)
+    member = Reader(store, "member")
+    await sleep(0.02)
+    try:
+        yield store, leader, member
+    finally:
+        leader.task.cancel()
+        member.task.cancel()
+
+
+async def tell_for(leader, member, seconds):
+    """Pass changes on at the interval of notices."""
+    for _ in range(round(seconds / 0.02)):
+        leader.tell(member)
+        await sleep(0.02)
+
+
+async def test_member_that_is_told_asks_nothing():
+    """Pattern of large fleets: all of them asked for each upstream that started."""
+    async with read_at_second_hand() as (store, leader, member):
+        await tell_for(leader, member, 2 * TIMES.wait_s)
+        before = member.client.calls
+        for number in range(10):
+            store.put(TABLE, f"u{number}", b"1")
+            await tell_for(leader, member, 0.04)
+        await tell_for(leader, member, 0.1)
+        assert member.sink.rows == {f"u{number}": b"1" for number in range(10)}
+        assert member.client.calls == before
+
+
+async def test_removed_row_is_passed_on():
+    async with read_at_second_hand() as (store, leader, member):
+        await store.delete(TABLE, "u0")
+        await tell_for(leader, member, 0.2)
+        assert member.sink.rows == {}
+
+
+async def test_member_follows_on_its_own_when_the_coordinator_is_silent():
+    async with read_at_second_hand() as (store, leader, member):
+        await tell_for(leader, member, 2 * TIMES.wait_s)
+        store.put(TABLE, "u1", b"1")
+        await sleep(TIMES.told_lasts_s + 2 * TIMES.gather_s)
+        assert "u1" in member.sink.rows
+
+
+async def test_missed_changes_are_asked_for_once():
+    async with read_at_second_hand() as (store, leader, member):
+        await tell_for(leader, member, 2 * TIMES.wait_s)
+        before = member.client.calls
+        store.put(TABLE, "u1", b"1")
+        store.put(TABLE, "u2", b"2")
+        await sleep(2 * TIMES.lead_wait_s)
+        whole = leader.feed.describe_since(member.feed.version)
+        lost = replace(whole, after=whole.version, rows=[])
+        member.feed.take_change(lost)
+        await sleep(0.02)
+        assert member.sink.rows == {"u0": b"0", "u1": b"1", "u2": b"2"}
+        assert member.client.calls == before + 1
+        assert member.client.wait_s == 0.0
+
+
+async def test_nothing_is_passed_on_while_the_store_is_away():
+    async with read_at_second_hand() as (store, leader, member):
+        store.away = {"leader"}
+        await sleep(3 * TIMES.lead_wait_s)
+        assert leader.feed.describe_since(0) is None
+        store.put(TABLE, "u1", b"1")
+        await sleep(TIMES.told_lasts_s + 2 * TIMES.wait_s)
+        assert "u1" in member.sink.rows
+
+
+async def test_member_without_the_store_is_served_through_the_coordinator():
+    """Pattern platform_down: the store turns some instances away."""
+    async with read_at_second_hand() as (store, leader, member):
+        store.away = {"member"}
+        await wait_for(lambda: member.sink.lost)
+        store.put(TABLE, "u1", b"1")
+        await tell_for(leader, member, 0.2)
+        assert "u1" in member.sink.rows
+        assert not member.sink.lost
+
+
+async def test_older_version_changes_nothing():
+    async with read_at_second_hand() as (store, leader, member):
+        old = leader.feed.describe_since(0)
+        store.put(TABLE, "u0", b"1")
+        await sleep(3 * TIMES.wait_s)
+        member.feed.take_change(old)
+        assert member.sink.rows == {"u0": b"1"}
+
+
+async def test_lost_history_is_read_anew():
+    async with read_at_second_hand() as (store, leader, _):
+        store.put(TABLE, "u1", b"1")
+        store.first_kept = store.version + 1
+        store.version += 1
+        await sleep(4 * TIMES.lead_wait_s)
+        assert leader.sink.rows["u1"] == b"1"
+        # What came before isn't known any more, so a member that lags is told so.
+        change = leader.feed.describe_since(1)
+        assert (change.after, change.rows) == (change.version, [])
+
+
+class FleetStore(CountingStore):
+    """A client that fails calls after its instance is said to be told."""
+
+    refuse = False
+
+    async def watch(self, table, after, wait_s):
+        if self.refuse:
+            raise StoreUnavailableError("asked although told", False)
+        return await super().watch(table, after, wait_s)
+
+
+async def test_fleet_hears_of_changes_through_the_coordinator():
+    """Changes travel with the notices, by ZeroMQ."""
+    loop = get_running_loop()
+    system = System()
+    system.store.put(TABLE, "u0", b"0")
+    clients, sinks, tasks = {}, {}, []
+    for name in ("r1", "r2", "r3"):
+        instance = system.add(name, loop)
+        clients[name] = FleetStore(system.store, name)
+        sinks[name] = Rows()
+        feed = TableFeed(
+            clients[name], TABLE, sinks[name], TIMES, instance.follower.announce
+        )
+        instance.follower.feeds = [feed]
+        tasks.append(create_task(feed.follow()))
+    try:
+        await wait_for(lambda: system.all_served() and system.all_follow(), 8.0)
+        await sleep(2 * TIMES.wait_s)
+        leader = system.find_leader().settings.name
+        for name, client in clients.items():
+            client.refuse = name != leader
+        system.store.put(TABLE, "u1", b"1")
+        await wait_for(
+            lambda: all("u1" in sink.rows for sink in sinks.values()), PASSED_ON_S
+        )
+        assert not any(sink.lost for sink in sinks.values())
+    finally:
+        for task in tasks:
+            task.cancel()
+        for instance in system.instances.values():
+            instance.follower.close()
+
+
+async def test_outage_costs_a_fleet_few_calls():
+    """Pattern platform_down: every instance asked several times a second."""
+    store = MemoryStore()
+    store.put(TABLE, "u0", b"0")
+    members = [Reader(store, f"member-{number}") for number in range(5)]
+    await sleep(0.02)
+    store.away = {reader.client._name for reader in members}
+    before = [reader.client.calls for reader in members]
+    try:
+        for _ in range(20):
+            for reader in members:
+                reader.feed.note_outage()
+            await sleep(0.02)
+        assert all(reader.sink.lost for reader in members)
+        # One call was under way when the store went away.
+        for reader, calls in zip(members, before, strict=True):
+            assert reader.client.calls <= calls + 1
+        store.away = set()
+        members[0].feed.note_reached()
+        await wait_for(lambda: not members[0].sink.lost, TIMES.told_lasts_s)
+    finally:
+        for reader in members:
+            reader.task.cancel()
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -16,6 +16,7 @@
 
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
+from plantaincart_router.direct.ownerless import OwnerlessRanges
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.settings import DirectSettings
@@ -63,6 +64,7 @@
         self.directory = UpstreamDirectory()
         self.upstreams_known = False
         self.owners: dict[str, OwnerMap] = {}
+        self.ownerless = OwnerlessRanges()
         self.map_version = -1
         self.epoch = 0
         self.members = 1
@@ -102,6 +104,11 @@
         """Wait for announcements that lapsed meanwhile."""
         self.directory.note_return(monotonic())
 
+    def hold_removals(self, wait_s: float) -> None:
+        """Keep upstreams that vanish for a time, since the store was away."""
+        if wait_s > 0.0:
+            self.directory.distrust_removals(monotonic() + wait_s)
+
     def choose_gather_s(self) -> float:
         """Choose how long changes are gathered, by the count of instances."""
         settings = self._settings
@@ -277,7 +284,13 @@
     def _apply_changes(self, changes: list[MapChange]) -> None:
         for change in changes:
             owners = self.owners.setdefault(change.service, OwnerMap())
-            owners.assign(read_range(change))
+            keys = read_range(change)
+            owners.assign(keys)
+            if keys.owner:
+                self.ownerless.forget(change.service, keys)
+            elif change.free_in_s > 0.0:
+                free_at = monotonic() + change.free_in_s
+                self.ownerless.expect(change.service, keys, free_at)
 
     def _count_members(self, notice: CoordinatorNotice) -> None:
         """Believe a lower count only after a while: a new coordinator starts at 0."""
