Refuse at once what an owner out of reach can't serve in time

Ruled out: shorter holds of keys, since they must outlast a takeover. A failed connection stops others from trying for 0.25 to 1 s, a key's owner is tried twice a request, and upstreams without keys are passed over. Bytes that nobody acknowledges for 0.8 s end a connection.

--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -38,6 +38,8 @@
         Whether a byte of it was sent.
     may_have_run : bool
         Whether an upstream may have run it.
+    unreached : int
+        Times that the owner of its key couldn't be connected to.
     tried : set of str
         Upstreams that it isn't sent to again.
     upstream : str
@@ -54,6 +56,7 @@
     attempts: int = 0
     sent: bool = False
     may_have_run: bool = False
+    unreached: int = 0
     tried: set[str] = field(default_factory=set)
     upstream: str = ""
 
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -458,7 +458,10 @@
 
     def _describe_tables(self, member: Member) -> list[TableChange]:
         """Describe what the member doesn't know of the followed tables."""
-        described = []
+        described: list[TableChange] = []
+        if self._doubt:
+            # A feed may still wait for an answer that doesn't come.
+            return described
         for feed in self._feeds:
             version = member.find_table_version(feed.table)
             change = None if version is None else feed.describe_since(version)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -25,8 +25,11 @@
 __all__ = ["Gateway"]
 
 DEFAULT_TIME_LEFT_S = 30.0
-# Attempts at the owner of a key.
+# Attempts at the owner of a key, and attempts to connect to it: a second one meets an
+# upstream whose connections were all taken, while one out of reach stays so for
+# longer than most callers wait.
 KEYED_ATTEMPTS = 3
+UNREACHED_ATTEMPTS = 2
 # Seconds to wait for another owner after the known one couldn't be reached, and
 # after it said that it doesn't hold the key.
 UNREACHED_WAIT_S = 0.2
@@ -66,7 +69,7 @@
         self._random = Random()
         self._budgets: dict[str, WindowBudget] = {}
         cold = ColdGate(settings.bounds)
-        self._selector = UpstreamSelector(settings, view, cold, tally)
+        self._selector = UpstreamSelector(settings, view, cold, pools.reach, tally)
         self._sender = UpstreamSender(
             settings, view, dialect, pools, cold, self._selector, tally
         )
@@ -176,11 +179,14 @@
     ) -> None:
         """Decide whether a request that didn't run is sent once more."""
         if not error.arrived:
-            if call.left_s > self._settings.send.least_left_s:
-                call.tried.add(record.id)
+            call.unreached += 1
+            call.tried.add(record.id)
+            again = not call.service.keyed or call.unreached < UNREACHED_ATTEMPTS
+            if again and call.left_s > self._settings.send.least_left_s:
                 if call.service.keyed:
                     await self._selector.wait_for_change(call, UNREACHED_WAIT_S)
                 return
+            raise self._selector.refuse_unreached(call, record, str(error))
         elif error.misdirected and call.service.keyed:
             await self._selector.wait_for_change(call, MISDIRECTED_WAIT_S)
             if self._may_repeat(call):
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -4,7 +4,9 @@
 
 from plantaincart_core.directory import UpstreamRecord
 
+from plantaincart_router.direct.reach import ReachBook
 from plantaincart_router.direct.settings import SendSettings
+from plantaincart_router.exception import ConnectFailedError
 from plantaincart_router.http.exchange import HttpConnection
 
 __all__ = ["UpstreamPools"]
@@ -23,10 +25,16 @@
     ----------
     settings : SendSettings
         Times for which connections are kept and opened.
+
+    Attributes
+    ----------
+    reach : ReachBook
+        Upstreams that no connection could be opened to.
     """
 
     def __init__(self, settings: SendSettings) -> None:
         self._settings = settings
+        self.reach = ReachBook()
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
 
     def take(
@@ -83,7 +91,16 @@
             If it isn't open in time.
         """
         limit_s = min(timeout_s, self._settings.connect_timeout_s)
-        return await HttpConnection.open(record.host, record.port, limit_s, True)
+        self.reach.begin_attempt(record, monotonic())
+        try:
+            connection = await HttpConnection.open(
+                record.host, record.port, limit_s, True
+            )
+        except ConnectFailedError:
+            self.reach.note_failure(record, monotonic())
+            raise
+        self.reach.note_success(record)
+        return connection
 
     def give_back(
         self,
@@ -114,6 +131,7 @@
 
     def drop(self, record: UpstreamRecord) -> None:
         """Close the idle connections to an upstream that has gone."""
+        self.reach.forget(record)
         for connection, _ in self._idle.pop((record.id, record.born), []):
             connection.close()
 
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -17,7 +17,7 @@
 
 from plantaincart_router.direct.call import Call, refuse
 from plantaincart_router.direct.cold import ColdGate
-from plantaincart_router.direct.ownerless import OwnerlessRanges
+from plantaincart_router.direct.reach import ReachBook
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.tally import Tally
 from plantaincart_router.direct.view import SystemView
@@ -29,6 +29,8 @@
 WORK_GUESS_SHARE = 0.35
 # Least seconds after which callers come back for keys without an owner.
 OWNERLESS_RETRY_S = 0.5
+# Seconds beyond the expected end of a handover for which requests wait for it.
+HANDOVER_SPREAD_S = 0.5
 
 
 class UpstreamSelector:
@@ -43,6 +45,8 @@
         What is known of the system.
     cold : ColdGate
         Counts what cold upstreams get.
+    reach : ReachBook
+        Upstreams that no connection could be opened to.
     tally : Tally
         Counts what happens.
     """
@@ -52,15 +56,16 @@
         settings: DirectSettings,
         view: SystemView,
         cold: ColdGate,
+        reach: ReachBook,
         tally: Tally,
     ) -> None:
         self._settings = settings
         self._view = view
         self._cold = cold
+        self._reach = reach
         self._tally = tally
         self._random = Random()
         self._mean_work_s: dict[str, float] = {}
-        self._ownerless = OwnerlessRanges()
 
     async def find_upstream(self, call: Call) -> UpstreamRecord:
         """
@@ -111,33 +116,70 @@
                 and record.born == owned.born
                 and self._view.can_hold(record)
             ):
-                self._ownerless.clear(call.service.name, owned.first)
+                self._view.ownerless.clear(call.service.name, owned.first)
                 self._tally.observe(
                     "park_seconds", monotonic() - parked_at, call.service.name
                 )
+                self._check_reach(call, record)
                 self._admit(call, record)
                 return record
             now = monotonic()
             first = owned.first if owned is not None else 0
-            ownerless_s = self._ownerless.note(call.service.name, first, now)
+            ownerless = self._view.ownerless
+            ownerless_s = ownerless.note(call.service.name, first, now)
+            expected_s = ownerless.estimate_wait(call.service.name, key, now)
+            limit_s = self._settings.send.handover_s - ownerless_s
+            if expected_s is not None:
+                limit_s = expected_s + HANDOVER_SPREAD_S
+                parked_until = min(parked_until, now + limit_s)
             wait_s = min(
-                parked_until - now,
-                self._settings.send.handover_s - ownerless_s,
-                call.left_s - self.estimate_work(call),
+                parked_until - now, limit_s, call.left_s - self.estimate_work(call)
             )
-            if wait_s <= 0.0 or call.caller.gone.is_set():
-                raise self._refuse_ownerless(call, key, ownerless_s)
+            hopeless = expected_s is not None and expected_s > wait_s
+            if hopeless or wait_s <= 0.0 or call.caller.gone.is_set():
+                raise self._refuse_ownerless(call, key, ownerless_s, expected_s)
             await self.wait_for_change(call, wait_s)
 
+    def _check_reach(self, call: Call, record: UpstreamRecord) -> None:
+        """Refuse a request whose owner others have just failed to connect to."""
+        left_s = self._reach.left_s(record, monotonic())
+        if left_s > 0.0 and not call.unreached:
+            detail = f"upstream {record.id} couldn't be reached a moment ago"
+            raise self.refuse_unreached(call, record, detail)
+
+    def refuse_unreached(
+        self, call: Call, record: UpstreamRecord, detail: str
+    ) -> RefusedError:
+        """
+        Return the error for a key whose owner can't be connected to.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        record : UpstreamRecord
+            Owner of its key.
+        detail : str
+            For the log.
+        """
+        left_s = self._reach.left_s(record, monotonic())
+        return self.refuse_unserved(
+            call, Reason.UPSTREAM_UNREACHABLE, detail, max(left_s, OWNERLESS_RETRY_S)
+        )
+
     def _refuse_ownerless(
-        self, call: Call, key: int, ownerless_s: float
+        self, call: Call, key: int, ownerless_s: float, expected_s: float | None
     ) -> RefusedError:
         detail = f"no owner for key {key}, for {ownerless_s:.1f} s"
-        times = self._settings.coordination
-        # By then the hold of an owner that can't be reached has ended.
-        left_s = times.hold_s + times.call_timeout_s + times.hold_margin_s - ownerless_s
+        if expected_s is None:
+            times = self._settings.coordination
+            # By then the hold of an owner that can't be reached has ended.
+            hold_s = times.hold_s + times.call_timeout_s + times.hold_margin_s
+            expected_s = hold_s - ownerless_s
+        else:
+            detail += f", expected in {expected_s:.1f} s"
         return self.refuse_unserved(
-            call, Reason.NO_OWNER, detail, max(left_s, OWNERLESS_RETRY_S)
+            call, Reason.NO_OWNER, detail, max(expected_s, OWNERLESS_RETRY_S)
         )
 
     async def wait_for_change(self, call: Call, wait_s: float) -> None:
@@ -152,9 +194,10 @@
         self, call: Call, candidates: Sequence[UpstreamRecord]
     ) -> UpstreamRecord:
         now = monotonic()
+        reached = [one for one in candidates if self._reach.left_s(one, now) <= 0.0]
         warm = {
             record.id: record
-            for record in candidates
+            for record in reached or candidates
             if self._is_warm_enough(call, record, now)
         }
         if not warm:
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -42,6 +42,7 @@
     def __init__(self):
         self.rows = {}
         self.lost = False
+        self.losses = 0
 
     def replace_table(self, table, view):
         self.rows = {row.key: row.value for row in view.rows}
@@ -55,6 +56,7 @@
 
     def lose_store(self):
         self.lost = True
+        self.losses += 1
 
     def regain_store(self):
         self.lost = False
@@ -193,15 +195,18 @@
     """A client that fails calls after its instance is said to be told."""
 
     refuse = False
+    hang_s = 0.0
 
     async def watch(self, table, after, wait_s):
+        await sleep(self.hang_s)
         if self.refuse:
             raise StoreUnavailableError("asked although told", False)
         return await super().watch(table, after, wait_s)
 
 
-async def test_fleet_hears_of_changes_through_the_coordinator():
-    """Changes travel with the notices, by ZeroMQ."""
+@asynccontextmanager
+async def run_fleet():
+    """Yield a system of three instances, with their clients and sinks by name."""
     loop = get_running_loop()
     system = System()
     system.store.put(TABLE, "u0", b"0")
@@ -218,6 +223,17 @@
     try:
         await wait_for(lambda: system.all_served() and system.all_follow(), 8.0)
         await sleep(2 * TIMES.wait_s)
+        yield system, clients, sinks
+    finally:
+        for task in tasks:
+            task.cancel()
+        for instance in system.instances.values():
+            instance.follower.close()
+
+
+async def test_fleet_hears_of_changes_through_the_coordinator():
+    """Changes travel with the notices, by ZeroMQ."""
+    async with run_fleet() as (system, clients, sinks):
         leader = system.find_leader().settings.name
         for name, client in clients.items():
             client.refuse = name != leader
@@ -226,11 +242,19 @@
             lambda: all("u1" in sink.rows for sink in sinks.values()), PASSED_ON_S
         )
         assert not any(sink.lost for sink in sinks.values())
-    finally:
-        for task in tasks:
-            task.cancel()
-        for instance in system.instances.values():
-            instance.follower.close()
+
+
+async def test_outage_is_one_loss_for_each_instance():
+    """A coordinator that waits for an answer passed on that the store was well."""
+    async with run_fleet() as (system, clients, sinks):
+        leader = clients[system.find_leader().settings.name]
+        # Its call for changes hangs, while its renewals are refused.
+        leader.hang_s = 1.0
+        await sleep(2 * TIMES.lead_wait_s)
+        system.store.away = set(system.instances)
+        await wait_for(lambda: any(sink.lost for sink in sinks.values()))
+        await sleep(0.5)
+        assert all(sink.losses <= 1 for sink in sinks.values())
 
 
 async def test_outage_costs_a_fleet_few_calls():
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -20,6 +20,7 @@
     TCP_KEEPIDLE,
     TCP_KEEPINTVL,
     TCP_NODELAY,
+    TCP_USER_TIMEOUT,
     socket,
 )
 from typing import Self, cast
@@ -41,6 +42,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
+# Milliseconds for which bytes that were sent may stay unacknowledged: a machine that is
+# gone acknowledges nothing, while a lost packet is repeated several times meanwhile.
+USER_TIMEOUT_MS = 800
 
 
 class HttpConnection(Protocol):
@@ -275,6 +279,7 @@
     made = socket(AF_INET6 if ":" in host else AF_INET, SOCK_STREAM)
     made.setblocking(False)
     made.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    made.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     made.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     made.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     made.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
