Let each instance ask the store when the coordinator's answer is old

Its call for changes hung, its notices went on saying that nothing had changed, and once it was in doubt the others left the store alone, so that most heard of an upstream that left at 17.2 s only from the next coordinator at 20.05 s. Ruled out: the time to the takeover itself (2.3 s); it needs that long to be sure. A coordinator in doubt, or one that resigns, makes all ask for themselves; only who gets no answer either waits for its turn.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -150,7 +150,7 @@
         write_event("term_started", epoch=self.epoch)
         for feed in self._feeds:
             feed.leads = True
-            feed.wake()
+            feed.ask_again()
         self._tasks = [
             create_task(self._run_guarded("renew_term", self._renew_term)),
             create_task(self._run_guarded("place", self._place)),
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -304,9 +304,8 @@
             return
         if self._doubted_at is None:
             self._doubted_at = monotonic()
-        if not self._reaches_store:
-            for feed in self.feeds:
-                feed.note_outage()
+        for feed in self.feeds:
+            feed.note_outage()
         if self._probe is None or self._probe.done():
             self._probe = create_task(self._try_store())
 
@@ -326,7 +325,7 @@
             self._reaches_store = True
             self.note_store_answer(monotonic())
             for feed in self.feeds:
-                feed.note_reached()
+                feed.ask_again()
             # The coordinator gives up when it hears of this, and need not wait.
             self._report()
         await sleep(turn_s - before_s)
@@ -359,6 +358,8 @@
             return
         if notice.resigned:
             self._resigned = True
+            for feed in self.feeds:
+                feed.ask_again()
             return
         self._heard_at = monotonic()
         self._take_doubt(notice.doubt)
