Keep earlier holders in the owners' row until their keys are free

Change: earlier holders stay until the keys are free; estimates also at a takeover; the row of a coordinator that has resigned counts as vacant. Result: three tests, each failing without its change.

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -85,6 +85,7 @@
         self._connected_at = 0.0
         self._store_answered_at = monotonic()
         self._resigned = False
+        self._resigned_epoch = 0
         self._long_hold_at = float("-inf")
         self._doubted_at: float | None = None
         self._probe: Task[None] | None = None
@@ -161,7 +162,7 @@
             return
         await self._read_row()
         row = self._row
-        if row is not None and not row.vacant and not self._is_own(row):
+        if row is not None and not self._is_free(row):
             unchanged_s = monotonic() - self._row_changed_at
             if unchanged_s < self._times.unchanged_s:
                 return
@@ -227,6 +228,11 @@
         self.coordinator.start()
         self._report()
 
+    def _is_free(self, row: CoordinatorRow) -> bool:
+        """Whether the term of a row has surely ended, although it stands there."""
+        resigned = row.epoch == self._resigned_epoch
+        return row.vacant or resigned or self._is_own(row)
+
     def _is_own(self, row: CoordinatorRow) -> bool:
         """
         Whether a term is that of an earlier process of this instance.
@@ -358,6 +364,7 @@
             return
         if notice.resigned:
             self._resigned = True
+            self._resigned_epoch = notice.epoch
             for feed in self.feeds:
                 feed.ask_again()
             return
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -107,7 +107,8 @@
     def start_resumed(self) -> None:
         """Grant the keys taken over anew, and finish the moves under way."""
         for keys in list(self.owners):
-            previous = self._previous.pop((keys.first, keys.last), None)
+            # It stays in the rows until the keys are free.
+            previous = self._previous.get((keys.first, keys.last))
             if not keys.owner:
                 continue
             held = []
@@ -119,6 +120,7 @@
                 keys.owner, keys.born
             ):
                 self._moving.append(renewed)
+                self._note_free(renewed, held)
                 self._spawn(self._finish(renewed, held))
 
     def describe(self) -> list[tuple[KeyRange, float]]:
@@ -416,13 +418,18 @@
             if one.owner and not self._is_moving(one) and one != keys:
                 self._restand(one, keys)
         self._moving.append(keys)
-        free_in_s = self._transfer.estimate_free(held)
-        self._free_at[keys] = monotonic() + free_in_s
+        free_in_s = self._note_free(keys, held)
         self._ledger.publish(
             self._service, KeyRange(first=keys.first, last=keys.last), free_in_s
         )
         self._spawn(self._finish(keys, held))
 
+    def _note_free(self, keys: KeyRange, held: list[KeyRange]) -> float:
+        """Note when keys that move should be free; return the seconds until then."""
+        free_in_s = self._transfer.estimate_free(held)
+        self._free_at[keys] = monotonic() + free_in_s
+        return free_in_s
+
     def _restand(self, one: KeyRange, moved: KeyRange) -> None:
         if one.last + 1 != moved.first and one.first != moved.last + 1:
             return
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, get_running_loop, sleep
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from socket import socket
 from time import monotonic
 
@@ -13,6 +14,7 @@
 from plantaincart_router.direct.settings import ResourceSettings
 from plantaincart_router.direct.termrow import COORDINATOR_TABLE
 from plantaincart_router.direct.tests.fakes import (
+    FAST,
     MemoryGrants,
     MemoryStore,
     MemoryUpstream,
@@ -217,6 +219,18 @@
         await wait_for(lambda: system.all_served() and system.all_follow())
 
 
+async def test_leader_that_says_it_ends_is_replaced_at_once():
+    """Pattern platform_down (leader): its row stands, since it can't write."""
+    async with run_system(get_running_loop()) as system:
+        leader = system.find_leader()
+        for instance in system.instances.values():
+            # Long enough that nobody takes over because the row is unchanged.
+            instance.follower._times = replace(FAST, unchanged_s=30.0)
+        system.store.away = {leader.settings.name}
+        await wait_for(lambda: system.find_leader() not in (None, leader), 2.0)
+        await wait_for(lambda: system.all_served() and system.all_follow())
+
+
 async def test_restarted_instance_gets_the_whole_map():
     """Pattern roll_term: changes went to the process that was down."""
     async with run_system(get_running_loop()) as system:
@@ -322,3 +336,30 @@
         upstream.holdings.clear()
         upstream.connected.clear()
         await wait_for(system.all_served, 0.45)
+
+
+async def test_second_successor_knows_who_may_still_hold_keys():
+    """A row that the first successor writes must name the holders it waits for."""
+    async with run_system(get_running_loop()) as system:
+        lost = system.upstreams["u1"]
+        lost.reachable = False
+        for instance in system.instances.values():
+            instance.view.directory.remove("u1", monotonic())
+        first = system.find_leader()
+        placement = first.follower.coordinator._placements["ledger"]
+        await wait_for(lambda: bool(placement._moving), 1.0)
+        await first.follower.leave()
+        del system.instances[first.settings.name]
+        await wait_for(lambda: system.find_leader() is not None)
+        coordinator = system.find_leader().follower.coordinator
+        await wait_for(lambda: coordinator._resumed)
+        placement = coordinator._placements["ledger"]
+        assert any(lost.holds(key) for key in SAMPLE_KEYS)
+        row = placement.describe_row(coordinator.epoch, 0)
+        assert "u1" in {one.previous for one in row.ranges}
+        # Instances with the old map name the lost owner, which serves on for a while.
+        await wait_for(lambda: not any(lost.holds(key) for key in SAMPLE_KEYS))
+        await wait_for(lambda: system.all_served() and system.all_follow())
+        row = placement.describe_row(coordinator.epoch, 0)
+        assert "u1" not in {one.previous for one in row.ranges}
+        first.follower.close()
--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -143,3 +143,25 @@
         assert 0.0 < waits() <= 0.7
         await wait_for(lambda: system.all_served() and system.all_follow())
         assert waits() is None
+
+
+async def test_successor_says_how_long_a_lost_owner_keeps_its_keys():
+    """Pattern roll_term after a loss: the map of a takeover didn't say it."""
+    async with run_system(get_running_loop()) as system:
+        upstream = system.upstreams["u1"]
+        key = upstream.holdings[0].first
+        upstream.reachable = False
+        for instance in system.instances.values():
+            instance.view.directory.remove("u1", monotonic())
+        old = system.find_leader()
+        placement = old.follower.coordinator._placements["ledger"]
+        await wait_for(lambda: bool(placement._moving), 1.0)
+        await old.follower.leave()
+        del system.instances[old.settings.name]
+        await wait_for(lambda: system.find_leader() is not None)
+        member = next(one for one in system.instances.values() if not one.leads)
+        await wait_for(lambda: member.view.epoch > 1, 2.0)
+        ownerless = member.view.ownerless
+        assert ownerless.estimate_wait("ledger", key, monotonic()) is not None
+        await wait_for(lambda: system.all_served() and system.all_follow())
+        old.follower.close()
