End a term when its time is over, whatever calls are under way

Cause: found by reading: the coordinator looked at the age of its last confirmed renewal only after a write and a read had failed, 1.7 s apart when the store is silent. So it acted for up to 3.4 s, while its successor counts on 2 s for owners that it can't reach. Ruled out: shorter timeouts of the store's calls; a slow store needs them. Change: a timer that each confirmation moves ends the term.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -2,7 +2,6 @@
 
 from asyncio import Lock, Task, TimerHandle, create_task, get_running_loop, sleep
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from time import monotonic
 
 from plantaincart_core.loadsheet import pack_loads
@@ -36,11 +35,7 @@
     StoreRow,
     StoreUnavailableError,
 )
-from plantaincart_router.direct.termrow import (
-    COORDINATOR_TABLE,
-    find_term,
-    make_term_row,
-)
+from plantaincart_router.direct.term import Term
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 
@@ -93,11 +88,9 @@
 
     Notes
     -----
-    The term lasts while renewals of its row are confirmed. While most members say
-    that the store answers none of them nobody can take over, so the term goes on for
-    `offline_s`. An earlier coordinator may still send grants for `confirmed_s` after
-    the takeover; upstreams that don't answer a release count as holding their keys
-    until the last of these has lapsed.
+    How long the term lasts is decided by `Term`. An earlier coordinator may still send
+    grants for `confirmed_s` after the takeover; upstreams that don't answer a release
+    count as holding their keys until the last of these has lapsed.
     """
 
     def __init__(
@@ -117,8 +110,6 @@
         self._times = settings.coordination
         self._view = view
         self._store = store
-        self._term = term
-        self._term_version = version
         self._notify = notify
         self._feeds = feeds
         self._granter = Granter(calls, self._times, settings.bounds.max_hold_s)
@@ -129,10 +120,17 @@
         self._sequence = 0
         self._map = MapHistory()
         self._members = Membership(self._times)
+        self._term = Term(
+            self._times,
+            store,
+            term,
+            version,
+            self._members,
+            self.end,
+            self._note_confirmed,
+        )
         self._slowness = SlownessBook()
         self._regranted: dict[tuple[str, int], float] = {}
-        self._confirmed_at = monotonic()
-        self._doubt = False
         self._resumed = False
         self._tasks: list[Task[None]] = []
         self._flush: TimerHandle | None = None
@@ -153,7 +151,7 @@
             feed.leads = True
             feed.ask_again()
         self._tasks = [
-            create_task(self._run_guarded("renew_term", self._renew_term)),
+            create_task(self._run_guarded("renew_term", self._term.renew)),
             create_task(self._run_guarded("place", self._place)),
             create_task(self._run_guarded("renew", self._granter.renew)),
         ]
@@ -163,6 +161,7 @@
         if self.ended:
             return
         self.ended = True
+        self._term.close()
         write_event("term_ended", epoch=self.epoch, reason=reason)
         self._granter.acts = False
         self._granter.clear()
@@ -187,18 +186,16 @@
             False if the store doesn't answer; the term goes on then, since nobody
             could take the role.
         """
-        row = replace(self._term, beat=self._term.beat + 1, vacant=True)
         try:
-            await self._write_term(row)
+            vacated = await self._term.vacate()
         except StoreUnavailableError as error:
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
             # Nobody can take the role, so grants are made to outlast this instance.
             self._granter.hold_s = self._settings.bounds.max_hold_s
             return False
-        except StoreConflictError as error:
-            return not await self._read_term(str(error))
-        self.end("planned")
-        return True
+        if vacated:
+            self.end("planned")
+        return self.ended
 
     def receive(self, report: MemberReport) -> None:
         """Take a member's report and answer it."""
@@ -255,63 +252,9 @@
             self.end(f"task {name} failed")
             raise
 
-    async def _renew_term(self) -> None:
-        while not self.ended:
-            await sleep(self._times.beat_s)
-            began = monotonic()
-            row = replace(self._term, beat=self._term.beat + 1)
-            try:
-                await self._write_term(row)
-                self._note_confirmation(began)
-            except (StoreConflictError, StoreUnavailableError) as error:
-                # The write may have happened although no answer said so.
-                await self._read_term(str(error))
-
-    def _note_confirmation(self, at: float) -> None:
-        self._confirmed_at = at
-        self._doubt = False
+    def _note_confirmed(self) -> None:
         self._granter.hold_s = self._normal_hold_s
 
-    async def _read_term(self, error: str) -> bool:
-        """Read the term's row; end the term if it no longer names this instance."""
-        began = monotonic()
-        try:
-            view = await self._store.read(COORDINATOR_TABLE)
-        except StoreUnavailableError:
-            self._check_confirmation(error)
-            return not self.ended
-        found = find_term(view)
-        if found is None or found[0].vacant or self._is_other(found[0]):
-            self.end("the row no longer names this instance")
-            return False
-        self._term, self._term_version = found
-        self._note_confirmation(began)
-        return True
-
-    def _is_other(self, row: CoordinatorRow) -> bool:
-        return (row.epoch, row.holder) != (self.epoch, self._term.holder)
-
-    def _check_confirmation(self, error: str) -> None:
-        """Go on without the store only while no other instance reaches it either."""
-        now = monotonic()
-        age_s = now - self._confirmed_at
-        self._doubt = True
-        self._members.forget_silent(now)
-        silences = self._members.list_silences(but=self._term.holder)
-        if any(0.0 <= silence < self._times.reached_s for silence in silences):
-            self.end(f"the store answers others, but not this instance: {error}")
-        elif age_s > self._times.confirmed_s:
-            # Members that haven't tried the store yet say so by a negative time.
-            known = [silence for silence in silences if silence >= 0.0]
-            nobody = bool(known) and min(known) >= self._times.reached_s
-            if not nobody or age_s > self._times.offline_s:
-                self.end(f"no renewal confirmed for {age_s:.1f} s: {error}")
-
-    async def _write_term(self, row: CoordinatorRow) -> None:
-        stored = make_term_row(row, self._term_version)
-        self._term_version = await self._store.write(COORDINATOR_TABLE, stored)
-        self._term = row
-
     async def _write_row(self, service: str, row: OwnershipRow) -> None:
         version = self._row_versions.get(service, 0)
         stored = StoreRow(key=service, value=encode_ownership(row), version=version)
@@ -449,7 +392,7 @@
             complete=changes is None,
             resigned=resigned,
             hold_s=self._granter.hold_s,
-            doubt=self._doubt,
+            doubt=self._term.doubt,
             changes=self._describe_map() if changes is None else changes,
             loads=loads,
             slowness=slowness,
@@ -460,7 +403,7 @@
     def _describe_tables(self, member: Member) -> list[TableChange]:
         """Describe what the member doesn't know of the followed tables."""
         described: list[TableChange] = []
-        if self._doubt:
+        if self._term.doubt:
             # A feed may still wait for an answer that doesn't come.
             return described
         for feed in self._feeds:
