Part the planning of moves by what is planned, and the probe from the follower

Change: moves and owners, first division, hot keys, joins and balance are modules of core; trying the store in turn is a module of the router. Behaviour unchanged; the tests of both run as before.

--- /dev/null
+++ b/packages/core/plantaincart_core/division.py
@@ -0,0 +1,40 @@
+"""The first division of all keys among upstreams."""
+
+from collections.abc import Sequence
+from itertools import accumulate
+
+from plantaincart_core.keymove import KeyMove, Owner
+from plantaincart_core.ownermap import KEYS
+
+__all__ = ["divide_keys"]
+
+
+def divide_keys(owners: Sequence[Owner]) -> list[KeyMove]:
+    """
+    Divide the whole key space in proportion to the owners' capacity.
+
+    Parameters
+    ----------
+    owners : sequence of Owner
+        At least one.
+
+    Returns
+    -------
+    list of KeyMove
+        One for each owner, without a source.
+
+    Examples
+    --------
+    >>> one, two = (Owner(id=name, born=1, capacity=2.0) for name in "ab")
+    >>> [(move.first, move.last, move.target) for move in divide_keys([one, two])]
+    [(0, 32767, 'a'), (32768, 65535, 'b')]
+    """
+    total = sum(owner.capacity for owner in owners)
+    sums = list(accumulate(owner.capacity for owner in owners))
+    ends = [round(KEYS * part / total) for part in sums]
+    starts = [0, *ends[:-1]]
+    return [
+        KeyMove(first=start, last=end - 1, source="", target=owner.id)
+        for owner, start, end in zip(owners, starts, ends, strict=True)
+        if end > start
+    ]
--- a/packages/core/plantaincart_core/tests/test_spread.py
+++ b/packages/core/plantaincart_core/tests/test_spread.py
@@ -2,15 +2,12 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from plantaincart_core.division import divide_keys
+from plantaincart_core.hotspot import plan_hot_keys
+from plantaincart_core.keymove import Owner, SpreadSettings
 from plantaincart_core.ownermap import KEYS, KeyRange, OwnerMap
-from plantaincart_core.spread import (
-    Owner,
-    SpreadSettings,
-    divide_keys,
-    plan_hot_keys,
-    plan_joins,
-    plan_moves,
-)
+from plantaincart_core.rangejoin import plan_joins
+from plantaincart_core.spread import plan_moves
 
 SETTINGS = SpreadSettings()
 
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -19,6 +19,7 @@
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.interface import Platform
 from plantaincart_router.direct.noticecodec import pack_notice, unpack_notice
+from plantaincart_router.direct.probe import StoreProbe
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import (
     StoreConflictError,
@@ -83,13 +84,12 @@
         self._row_read_at = 0.0
         self._heard_at = 0.0
         self._connected_at = 0.0
-        self._store_answered_at = monotonic()
         self._resigned = False
         self._resigned_epoch = 0
         self._long_hold_at = float("-inf")
-        self._doubted_at: float | None = None
-        self._probe: Task[None] | None = None
-        self._reaches_store: bool | None = None
+        self._probe = StoreProbe(
+            self._times, platform.store, lambda: view.members, self._note_reached
+        )
         self._leaving = False
         self._task: Task[None] | None = None
         self.coordinator: Coordinator | None = None
@@ -107,10 +107,6 @@
         if self.coordinator is not None:
             self.coordinator.announce()
 
-    def note_store_answer(self, at: float) -> None:
-        """Note when the store last answered anything."""
-        self._store_answered_at = max(self._store_answered_at, at)
-
     async def leave(self) -> None:
         """Give the role up, however often that takes, and take part no more."""
         self._leaving = True
@@ -123,6 +119,7 @@
         """Release sockets."""
         if self._task is not None:
             self._task.cancel()
+        self._probe.close()
         if self.coordinator is not None:
             self.coordinator.end("stopped")
         for socket in (self._router, self._dealer):
@@ -173,7 +170,7 @@
         now = monotonic()
         gap_s = now - self._row_read_at
         self._row_read_at = now
-        self.note_store_answer(now)
+        self._probe.note_answer(now)
         found = find_term(view)
         if found is None:
             self._row, self._row_version = None, 0
@@ -277,7 +274,7 @@
             address=f"{settings.host}:{settings.peer_port}",
             epoch=view.epoch,
             map_version=view.map_version,
-            store_silent_s=self._measure_silence(),
+            store_silent_s=self._probe.measure_silence(),
             leaving=self._leaving,
             loads=view.take_asked(),
             in_flight=view.loads.list_in_flight(),
@@ -294,47 +291,21 @@
         elif self._dealer is not None:
             self._dealer.send([encode_packed(report)])
 
-    def _measure_silence(self) -> float:
-        if self._doubted_at is None or self._reaches_store is None:
-            return -1.0
-        if self._reaches_store:
-            return 0.0
-        since = max(self._store_answered_at, self._doubted_at)
-        return round(max(monotonic() - since, self._times.reached_s), 2)
-
     def _take_doubt(self, doubt: bool) -> None:
         """Try the store while the coordinator gets no answer from it."""
         if not doubt:
-            self._doubted_at = None
-            self._reaches_store = None
+            self._probe.end()
             return
-        if self._doubted_at is None:
-            self._doubted_at = monotonic()
         for feed in self.feeds:
             feed.note_outage()
-        if self._probe is None or self._probe.done():
-            self._probe = create_task(self._try_store())
+        self._probe.begin()
 
-    async def _try_store(self) -> None:
-        """Ask the store once, in turn with the other instances."""
-        turn_s = max(
-            self._times.report_s, self._view.members / self._times.probes_per_s
-        )
-        before_s = turn_s * self._random.random()
-        await sleep(before_s)
-        try:
-            await self._platform.store.read(COORDINATOR_TABLE)
-        except StoreUnavailableError as error:
-            self._reaches_store = False
-            write_event("store_tried", error=str(error))
-        else:
-            self._reaches_store = True
-            self.note_store_answer(monotonic())
-            for feed in self.feeds:
-                feed.ask_again()
-            # The coordinator gives up when it hears of this, and need not wait.
-            self._report()
-        await sleep(turn_s - before_s)
+    def _note_reached(self) -> None:
+        """Act on an answer that the coordinator doesn't get."""
+        for feed in self.feeds:
+            feed.ask_again()
+        # The coordinator gives up when it hears of this, and need not wait.
+        self._report()
 
     def _receive_report(self, frames: list[bytes]) -> None:
         try:
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -5,17 +5,13 @@
 from dataclasses import replace
 from time import monotonic
 
+from plantaincart_core.division import divide_keys
+from plantaincart_core.hotspot import plan_hot_keys
 from plantaincart_core.keyload import KeyLoads
+from plantaincart_core.keymove import KeyMove, Owner, SpreadSettings
 from plantaincart_core.ownermap import KeyRange, OwnerMap
-from plantaincart_core.spread import (
-    KeyMove,
-    Owner,
-    SpreadSettings,
-    divide_keys,
-    plan_hot_keys,
-    plan_joins,
-    plan_moves,
-)
+from plantaincart_core.rangejoin import plan_joins
+from plantaincart_core.spread import plan_moves
 from plantaincart_schema.generated.direct import OwnershipRange, OwnershipRow
 
 from plantaincart_router.direct.granter import Granter
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from plantaincart_core.choice import ChoiceSettings
-from plantaincart_core.spread import SpreadSettings
+from plantaincart_core.keymove import SpreadSettings
 from plantaincart_core.upstreamload import LoadSettings
 
 __all__ = [
