Call what is passed on a relay, and don't take an old answer for the store's return

Cause: read as a newcomer would: 'told' needed explaining. While the coordinator's call for changes hung in an outage, members that had noticed it took its last answer, up to 1.2 s old, for the store's return, and logged both four times a second until it was in doubt. Change: names; only an answer that still counts ends an outage. A test fails without it. Two tests share how they lose an owner and its coordinator.

--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -101,8 +101,8 @@
         self._away = False
         self._pause_s = FIRST_PAUSE_S
         self._answered_at = float("-inf")
-        self._told_until = float("-inf")
-        self._told_version = 0
+        self._relay_until = float("-inf")
+        self._relayed_version = 0
         self._woken = Event()
         self.table = table
         self.leads = False
@@ -145,16 +145,17 @@
         if known is None or self.leads:
             return
         settings = self._settings
-        lasts_s = min(settings.told_lasts_s, settings.told_fresh_s - change.age_s)
-        self._told_until = monotonic() + lasts_s
+        lasts_s = min(settings.relay_lasts_s, settings.relay_fresh_s - change.age_s)
+        self._relay_until = monotonic() + lasts_s
         if change.after > known:
             write_event(
-                "table_lags", table=self.table, version=known, told=change.version
+                "table_lags", table=self.table, version=known, relayed=change.version
             )
-            self._told_version = max(self._told_version, change.version)
+            self._relayed_version = max(self._relayed_version, change.version)
             self._woken.set()
             return
-        self._note_answer()
+        if lasts_s > 0.0:
+            self._note_answer()
         if change.version <= known:
             return
         rows = [_unpack_row(row) for row in change.rows]
@@ -168,20 +169,20 @@
         leaves it to the instances whose turn it is to find out when there is one.
         """
         if self._away:
-            self._told_until = monotonic() + self._settings.told_lasts_s
+            self._relay_until = monotonic() + self._settings.relay_lasts_s
         else:
             self.ask_again()
 
     def ask_again(self) -> None:
         """Ask the store, whatever the coordinator has said."""
-        self._told_until = float("-inf")
+        self._relay_until = float("-inf")
         self._woken.set()
 
     async def follow(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if self._is_told:
-                await self._wait_told()
+            if self._is_relayed:
+                await self._wait_relayed()
                 continue
             try:
                 await self._step()
@@ -192,19 +193,19 @@
                 await self._wait_out(error)
 
     @property
-    def _is_told(self) -> bool:
+    def _is_relayed(self) -> bool:
         known = self._history.version
         return (
             known is not None
             and not self.leads
-            and known >= self._told_version
-            and monotonic() < self._told_until
+            and known >= self._relayed_version
+            and monotonic() < self._relay_until
         )
 
-    async def _wait_told(self) -> None:
+    async def _wait_relayed(self) -> None:
         self._woken.clear()
         try:
-            async with timeout(max(0.0, self._told_until - monotonic())):
+            async with timeout(max(0.0, self._relay_until - monotonic())):
                 await self._woken.wait()
         except TimeoutError:
             # The coordinator may have spoken meanwhile; the caller looks.
@@ -231,7 +232,7 @@
     def _choose_wait_s(self, known: int) -> float:
         # After an outage the first answer shows that the store is back, and one that
         # lags wants to know what there is: neither must wait for a change.
-        if self._away or known < self._told_version:
+        if self._away or known < self._relayed_version:
             return 0.0
         return self._settings.lead_wait_s if self.leads else self._settings.wait_s
 
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -104,10 +104,10 @@
     lead_wait_s : float
         The same for the coordinator, through which the others follow the tables; a
         connection that has gone silent must be noticed within the bounds.
-    told_lasts_s : float
+    relay_lasts_s : float
         Seconds after the coordinator's last notice in which the store isn't asked;
         three intervals between notices.
-    told_fresh_s : float
+    relay_fresh_s : float
         Longest time in seconds since the store answered the coordinator; then each
         instance asks for itself. Above `lead_wait_s`, and below half of the shortest
         bound on taking changes over.
@@ -123,8 +123,8 @@
 
     wait_s: float = 8.0
     lead_wait_s: float = 0.5
-    told_lasts_s: float = 0.75
-    told_fresh_s: float = 1.0
+    relay_lasts_s: float = 0.75
+    relay_fresh_s: float = 1.0
     gather_s: float = 0.2
     member_gather_s: float = 0.018
     bound_share: float = 0.4
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -338,19 +338,29 @@
         await wait_for(system.all_served, 0.45)
 
 
+async def replace_leader_of_a_lost_owner(system):
+    """
+    Lose upstream u1, and its coordinator once it waits for the keys.
+
+    Returns the instance that was the coordinator, to be closed, and the upstream.
+    """
+    lost = system.upstreams["u1"]
+    lost.reachable = False
+    for instance in system.instances.values():
+        instance.view.directory.remove("u1", monotonic())
+    old = system.find_leader()
+    placement = old.follower.coordinator._placements["ledger"]
+    await wait_for(lambda: bool(placement._moving), 1.0)
+    await old.follower.leave()
+    del system.instances[old.settings.name]
+    await wait_for(lambda: system.find_leader() is not None)
+    return old, lost
+
+
 async def test_second_successor_knows_who_may_still_hold_keys():
     """A row that the first successor writes must name the holders it waits for."""
     async with run_system(get_running_loop()) as system:
-        lost = system.upstreams["u1"]
-        lost.reachable = False
-        for instance in system.instances.values():
-            instance.view.directory.remove("u1", monotonic())
-        first = system.find_leader()
-        placement = first.follower.coordinator._placements["ledger"]
-        await wait_for(lambda: bool(placement._moving), 1.0)
-        await first.follower.leave()
-        del system.instances[first.settings.name]
-        await wait_for(lambda: system.find_leader() is not None)
+        old, lost = await replace_leader_of_a_lost_owner(system)
         coordinator = system.find_leader().follower.coordinator
         await wait_for(lambda: coordinator._resumed)
         placement = coordinator._placements["ledger"]
@@ -362,4 +372,4 @@
         await wait_for(lambda: system.all_served() and system.all_follow())
         row = placement.describe_row(coordinator.epoch, 0)
         assert "u1" not in {one.previous for one in row.ranges}
-        first.follower.close()
+        old.follower.close()
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -13,8 +13,8 @@
 TIMES = FeedSettings(
     wait_s=0.1,
     lead_wait_s=0.05,
-    told_lasts_s=0.15,
-    told_fresh_s=0.2,
+    relay_lasts_s=0.15,
+    relay_fresh_s=0.2,
     gather_s=0.02,
     member_gather_s=0.0,
 )
@@ -113,7 +113,7 @@
         await sleep(0.02)
 
 
-async def test_member_that_is_told_asks_nothing():
+async def test_member_that_is_relayed_asks_nothing():
     """Pattern of large fleets: all of them asked for each upstream that started."""
     async with read_at_second_hand() as (store, leader, member):
         await tell_for(leader, member, 2 * TIMES.wait_s)
@@ -137,7 +137,7 @@
     async with read_at_second_hand() as (store, leader, member):
         await tell_for(leader, member, 2 * TIMES.wait_s)
         store.put(TABLE, "u1", b"1")
-        await sleep(TIMES.told_lasts_s + 2 * TIMES.gather_s)
+        await sleep(TIMES.relay_lasts_s + 2 * TIMES.gather_s)
         assert "u1" in member.sink.rows
 
 
@@ -163,7 +163,7 @@
         await sleep(3 * TIMES.lead_wait_s)
         assert leader.feed.describe_since(0) is None
         store.put(TABLE, "u1", b"1")
-        await sleep(TIMES.told_lasts_s + 2 * TIMES.wait_s)
+        await sleep(TIMES.relay_lasts_s + 2 * TIMES.wait_s)
         assert "u1" in member.sink.rows
 
 
@@ -178,6 +178,16 @@
         assert not member.sink.lost
 
 
+async def test_old_answer_of_the_store_is_not_its_return():
+    """A coordinator whose call hangs doesn't know yet that the store is away."""
+    async with read_at_second_hand() as (store, leader, member):
+        store.away = {"member"}
+        await wait_for(lambda: member.sink.lost)
+        change = leader.feed.describe_since(member.feed.version)
+        member.feed.take_change(replace(change, age_s=2 * TIMES.relay_fresh_s))
+        assert member.sink.lost
+
+
 async def test_older_version_changes_nothing():
     async with read_at_second_hand() as (store, leader, member):
         old = leader.feed.describe_since(0)
@@ -297,7 +307,7 @@
             assert reader.client.calls <= calls + 2
         store.away = set()
         members[0].feed.ask_again()
-        await wait_for(lambda: not members[0].sink.lost, TIMES.told_lasts_s)
+        await wait_for(lambda: not members[0].sink.lost, TIMES.relay_lasts_s)
     finally:
         for reader in members:
             reader.task.cancel()
--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -5,7 +5,11 @@
 
 from plantaincart_core.ownermap import KeyRange
 from plantaincart_router.direct.tests.fakes import make_plan, make_record
-from plantaincart_router.direct.tests.test_coordinator import run_system, wait_for
+from plantaincart_router.direct.tests.test_coordinator import (
+    replace_leader_of_a_lost_owner,
+    run_system,
+    wait_for,
+)
 from plantaincart_router.direct.tests.test_gateway import (
     Upstream,
     ask,
@@ -148,17 +152,8 @@
 async def test_successor_says_how_long_a_lost_owner_keeps_its_keys():
     """Pattern roll_term after a loss: the map of a takeover didn't say it."""
     async with run_system(get_running_loop()) as system:
-        upstream = system.upstreams["u1"]
-        key = upstream.holdings[0].first
-        upstream.reachable = False
-        for instance in system.instances.values():
-            instance.view.directory.remove("u1", monotonic())
-        old = system.find_leader()
-        placement = old.follower.coordinator._placements["ledger"]
-        await wait_for(lambda: bool(placement._moving), 1.0)
-        await old.follower.leave()
-        del system.instances[old.settings.name]
-        await wait_for(lambda: system.find_leader() is not None)
+        key = system.upstreams["u1"].holdings[0].first
+        old, _ = await replace_leader_of_a_lost_owner(system)
         member = next(one for one in system.instances.values() if not one.leads)
         await wait_for(lambda: member.view.epoch > 1, 2.0)
         ownerless = member.view.ownerless
