--- a/packages/operator/plantaincart_operator/tests/test_apply.py
+++ b/packages/operator/plantaincart_operator/tests/test_apply.py
@@ -113,7 +113,7 @@
     )
 
 
-async def test_loser_is_relayed(anna: Operator, stage: Stage, tmp_path: Path) -> None:
+async def test_loser_is_told(anna: Operator, stage: Stage, tmp_path: Path) -> None:
     bertil = Operator(stage, tmp_path, "bertil")
     with pytest.raises(ConflictError) as caught:
         await anna.apply("data_centre,north,out", rival=bertil)
--- a/packages/operator/plantaincart_operator/tests/test_command.py
+++ b/packages/operator/plantaincart_operator/tests/test_command.py
@@ -103,7 +103,7 @@
     assert "ConnectFailedError" in shown
 
 
-async def test_key_is_relayed_by_its_leader(
+async def test_key_is_told_by_its_leader(
     stage: Stage, capsys: pytest.CaptureFixture[str]
 ) -> None:
     def describe(owner: str) -> KeyStatus:
--- a/packages/router/plantaincart_router/platform/tests/test_commit_surely.py
+++ b/packages/router/plantaincart_router/platform/tests/test_commit_surely.py
@@ -100,7 +100,7 @@
     assert table.applied == ["w1", "w2"]
 
 
-async def test_conflict_is_relayed() -> None:
+async def test_conflict_is_told() -> None:
     table = ScriptedTable("")
     table.apply(write("other", b"2", 0))
     answer = await run(table, write("w", b"1", 0))
--- a/packages/router/plantaincart_router/tests/test_http_server.py
+++ b/packages/router/plantaincart_router/tests/test_http_server.py
@@ -245,7 +245,7 @@
     other_writer.close()
 
 
-async def test_handler_is_relayed_that_the_caller_has_gone(
+async def test_handler_is_told_that_the_caller_has_gone(
     harness: Harness, wait_until: WaitUntil
 ) -> None:
     _, port = await harness.start()
