Send nothing more to upstreams that close new connections at once

Change: a new connection that ends within 10 ms of its request counts as a failed one, so that other requests are refused as not run for 0.25 to 1 s; and after such a failure a connection must stay open for 10 ms before anything is sent on it.

--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -101,11 +101,16 @@
         What was seen.
     overdue : bool
         Whether it was waited for until there was no time left.
+    closed_at_once : bool
+        Whether a new connection ended as soon as the request was sent.
     """
 
-    def __init__(self, detail: str, overdue: bool = False) -> None:
+    def __init__(
+        self, detail: str, overdue: bool = False, closed_at_once: bool = False
+    ) -> None:
         super().__init__(detail)
         self.overdue = overdue
+        self.closed_at_once = closed_at_once
 
 
 def refuse(
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -157,6 +157,8 @@
                 await self._prepare_repeat(call, record, error)
             except LostError as error:
                 call.may_have_run = True
+                # A repeat is sent only on a connection that stays open.
+                call.unreached += error.closed_at_once
                 self._tally.count("attempts", call.service.name, "lost")
                 write_event(
                     "attempt_lost",
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -1,5 +1,6 @@
 """Kept connections to upstreams."""
 
+from asyncio import sleep
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -9,12 +10,15 @@
 from plantaincart_router.exception import ConnectFailedError
 from plantaincart_router.http.exchange import HttpConnection
 
-__all__ = ["UpstreamPools"]
+__all__ = ["CLOSED_AT_ONCE_S", "UpstreamPools"]
 
 # Part of the time for which an upstream keeps idle connections; beyond it a request
 # might cross the upstream's close.
 KEPT_PART = 0.7
 MAX_IDLE_CONNECTIONS = 4
+# Seconds within which an upstream with too many connections closes a new one: some
+# times the way there and back. Before them nothing is sent to one that has done so.
+CLOSED_AT_ONCE_S = 0.01
 
 
 class UpstreamPools:
@@ -88,14 +92,22 @@
         Raises
         ------
         ConnectFailedError
-            If it isn't open in time.
+            If it isn't open in time, or was closed at once by an upstream that had
+            closed an earlier one.
         """
         limit_s = min(timeout_s, self._settings.connect_timeout_s)
+        doubtful = self.reach.is_doubtful(record)
         self.reach.begin_attempt(record, monotonic())
         try:
             connection = await HttpConnection.open(
                 record.host, record.port, limit_s, True
             )
+            if doubtful:
+                await sleep(CLOSED_AT_ONCE_S)
+                if not connection.reusable:
+                    raise ConnectFailedError(
+                        f"{record.host}:{record.port}: closed at once"
+                    )
         except ConnectFailedError:
             self.reach.note_failure(record, monotonic())
             raise
--- a/packages/router/plantaincart_router/direct/reach.py
+++ b/packages/router/plantaincart_router/direct/reach.py
@@ -15,6 +15,9 @@
     """
     Remembers failed connections, so that requests don't each wait for their own.
 
+    An upstream that closes new connections at once, since it has too many, counts as
+    one that couldn't be connected to.
+
     Notes
     -----
     After the pause one request is let through, and the next pause begins with it:
@@ -65,6 +68,10 @@
         if who in self._failures:
             self._paused_until[who] = now + self._choose_pause(who)
 
+    def is_doubtful(self, record: UpstreamRecord) -> bool:
+        """Whether the last connection to an upstream failed."""
+        return (record.id, record.born) in self._failures
+
     def left_s(self, record: UpstreamRecord, now: float) -> float:
         """Return the seconds until the upstream should be tried again."""
         until = self._paused_until.get((record.id, record.born))
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -9,7 +9,7 @@
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.cold import ColdGate
 from plantaincart_router.direct.interface import AnswerReading, Dialect
-from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.tally import Tally
@@ -148,9 +148,12 @@
         settings = self._settings.send
         silence_s = settings.keep_s if call.route.idempotent else settings.fresh_s
         connection = self._pools.take(record, silence_s)
+        is_new = connection is None
+        sent_at = monotonic()
         try:
             if connection is None:
                 connection = await self._pools.open(record, call.left_s)
+            sent_at = monotonic()
             left_s = call.left_s
             request = self._dialect.write_request(
                 call.request, record.id, max(left_s, 0.001)
@@ -164,7 +167,11 @@
             raise LostError(str(error), overdue=True) from error
         except ExchangeError as error:
             if error.may_have_started:
-                raise LostError(str(error)) from error
+                at_once = is_new and monotonic() - sent_at < CLOSED_AT_ONCE_S
+                if at_once:
+                    # It has too many connections; nobody else should send it one.
+                    self._pools.reach.note_failure(record, monotonic())
+                raise LostError(str(error), closed_at_once=at_once) from error
             raise NotRunError(str(error), False, False) from error
         idle_s = self._dialect.read_answer(answer).idle_timeout_s
         self._pools.give_back(record, connection, idle_s)
--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -13,6 +13,7 @@
 from plantaincart_router.direct.tests.test_gateway import (
     Upstream,
     ask,
+    break_off,
     run_gateway,
     verdict,
 )
@@ -116,6 +117,43 @@
         assert (await ask(gateway, left_s=2.0)).status == 200
 
 
+async def test_owner_with_too_many_connections_costs_one_filing_its_verdict():
+    """Pattern hot_key: all instances connect to one owner, which closes new ones."""
+    upstream = Upstream(*[break_off()] * 20)
+    plan = make_plan(idempotent=False, timeout_s=2.0)
+    async with run_gateway(upstream, plan=plan) as (gateway, _):
+        first = await ask(gateway, left_s=2.0)
+        assert (first.status, verdict(first)) == (502, "may-have-run")
+        rest = await gather(
+            *(ask(gateway, request_id=f"r{at}", left_s=2.0) for at in range(10))
+        )
+    assert {(one.status, verdict(one)) for one in rest} == {(503, "not-run")}
+    assert len(upstream.requests) == 1
+
+
+async def test_lookup_whose_new_connection_ended_is_sent_again():
+    upstream = Upstream(break_off())
+    async with run_gateway(upstream, plan=make_plan(timeout_s=2.0)) as (gateway, _):
+        assert (await ask(gateway, left_s=2.0)).status == 200
+    assert len(upstream.requests) == 2
+
+
+async def test_nothing_is_sent_on_a_connection_that_is_closed_at_once():
+    class ClosingUpstream(Upstream):
+        async def serve(self, reader, writer):
+            self.closed += 1
+            writer.transport.abort()
+
+    upstream = ClosingUpstream()
+    plan = make_plan(idempotent=False, timeout_s=2.0)
+    async with run_gateway(upstream, plan=plan) as (gateway, _):
+        await ask(gateway, left_s=2.0)
+        await sleep(0.3)
+        given = await ask(gateway, left_s=2.0)
+        assert upstream.closed >= 2
+    assert (given.status, verdict(given)) == (503, "not-run")
+
+
 async def test_unreachable_upstream_without_keys_is_passed_over():
     """Pattern srv_crash: each request found out for itself that one is gone."""
     plan = make_plan(keyed=False)
