Reset the connection of a request that is given up

Ruled out: two coordinators (one epoch all the while), the hold's arithmetic (the keys moved after it had ended), the new limit on unacknowledged bytes (the sockets were closed before it). Change: a connection whose exchange failed, timed out or was cancelled is closed with a reset, which discards what wasn't acknowledged.

--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -14,6 +14,7 @@
     AF_INET6,
     IPPROTO_TCP,
     SO_KEEPALIVE,
+    SO_LINGER,
     SOCK_STREAM,
     SOL_SOCKET,
     TCP_KEEPCNT,
@@ -23,6 +24,7 @@
     TCP_USER_TIMEOUT,
     socket,
 )
+from struct import pack
 from typing import Self, cast
 
 from plantaincart_router.exception import (
@@ -45,6 +47,8 @@
 # Milliseconds for which bytes that were sent may stay unacknowledged: a machine that is
 # gone acknowledges nothing, while a lost packet is repeated several times meanwhile.
 USER_TIMEOUT_MS = 800
+# Option that makes a close discard what wasn't sent or acknowledged: on, 0 seconds.
+RESET_ON_CLOSE = pack("ii", 1, 0)
 
 
 class HttpConnection(Protocol):
@@ -201,12 +205,26 @@
             self.close()
             raise SendFailedError(f"{self._address}: {error}") from error
         except BaseException:
-            self.close()
+            self._discard()
             raise
         finally:
             timer.cancel()
             self._waiter = None
 
+    def _discard(self) -> None:
+        """
+        Abort the connection with a reset.
+
+        A plain close leaves bytes that weren't acknowledged to the system, which sends
+        them again, seconds later if need be; the request would arrive after it was
+        given up.
+        """
+        if self._transport is not None and not self._transport.is_closing():
+            connected = self._transport.get_extra_info("socket")
+            if connected is not None:
+                connected.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+        self.close()
+
     def close(self) -> None:
         """Abort the connection; an exchange under way ends as lost."""
         if self._transport is not None and not self._transport.is_closing():
