Send no grant that has waited while its keys moved on

Calls to one upstream go one after the other; while it doesn't answer each takes 0.4 s, so that renewals of several ranges wait for seconds, and they were sent in their turn although the keys had moved or the term had ended meanwhile. Read from the code and the times of the breach, not from a log. Ruled out: bytes left to the system (connections are reset). Change: a call asks, when its turn has come, whether the grant still stands.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -1,6 +1,7 @@
 """Grants of keys, their renewals, and until when an upstream may hold keys."""
 
 from asyncio import Lock, Task, create_task, sleep, timeout
+from collections.abc import Callable
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -113,6 +114,7 @@
         keys: KeyRange,
         handover: str = "",
         renewal: bool = False,
+        stands: Callable[[], bool] | None = None,
     ) -> bool:
         """
         Grant keys once.
@@ -127,6 +129,9 @@
             From the last holder; empty for none.
         renewal : bool
             Whether the upstream is known to hold the keys already.
+        stands : callable, optional
+            Says whether the keys are still meant for this upstream. A call may wait
+            behind others for seconds while the upstream doesn't answer.
 
         Returns
         -------
@@ -146,6 +151,8 @@
         try:
             # One call at a time, so that all go over the same connection.
             async with self._locks.setdefault(who, Lock()):
+                if not self.acts or (stands is not None and not stands()):
+                    return False
                 before = self.hold_end(*who)
                 self.extend_hold(*who, monotonic() + longest + margin)
                 await self._calls.grant(record, keys, hold_s, handover, renewal)
@@ -241,7 +248,9 @@
         self, name: tuple[str, int, int], record: UpstreamRecord, keys: KeyRange
     ) -> None:
         try:
-            held = await self.grant(record, keys, renewal=True)
+            held = await self.grant(
+                record, keys, renewal=True, stands=lambda: self._stands(name, keys)
+            )
         except GrantRefusedError as error:
             write_event(
                 "renewal_refused",
@@ -252,5 +261,8 @@
                 error=str(error),
             )
             held = False
-        if not held and self._standing.get(name, (None, None))[1] == keys:
+        if not held and self._stands(name, keys):
             self.refused.append(keys)
+
+    def _stands(self, name: tuple[str, int, int], keys: KeyRange) -> bool:
+        return self._standing.get(name, (None, None))[1] == keys
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -208,8 +208,12 @@
         record = self._holders.find_present(keys.owner, keys.born)
         if record is None:
             return
-        held = await self._transfer.grant_once(record, keys)
-        if self.owners.find(keys.first) != keys or self._is_moving(keys):
+
+        def stands() -> bool:
+            return self.owners.find(keys.first) == keys and not self._is_moving(keys)
+
+        held = await self._transfer.grant_once(record, keys, stands=stands)
+        if not stands():
             return
         if held:
             self._granter.stand(self._service, record, keys)
--- a/packages/router/plantaincart_router/direct/tests/test_granter.py
+++ b/packages/router/plantaincart_router/direct/tests/test_granter.py
@@ -50,3 +50,42 @@
     await granter.grant(make_record("u0"), HELD)
     releasing = create_task(granter.release(make_record("u0"), FREED))
     assert await releasing == "handover-u0"
+
+
+class SlowGrants(MemoryGrants):
+    """Grants get no answer for as long as the calls are given."""
+
+    async def grant(self, upstream, keys, hold_s, handover="", renewal=False):
+        self.calls.append(("grant", upstream.id, keys, renewal))
+        await sleep(FAST.call_timeout_s)
+        raise AnswerTimeoutError("silent")
+
+
+async def test_renewal_that_waited_while_the_keys_moved_is_not_sent():
+    """Pattern zone_cut: renewals queued for an upstream were sent after the cut."""
+    calls = SlowGrants({})
+    granter = Granter(calls, FAST, 10.0)
+    record = make_record("u0")
+    moved = KeyRange(first=100, last=199, owner="u0", born=1, fence=6)
+    granter.stand("ledger", record, HELD)
+    granter.stand("ledger", record, moved)
+    renewing = create_task(granter.renew())
+    await sleep(FAST.call_timeout_s / 2)
+    granter.drop("ledger", moved.first, moved.last)
+    await sleep(2 * FAST.call_timeout_s)
+    renewing.cancel()
+    granter.clear()
+    assert [keys for _, _, keys, _ in calls.calls if keys == moved] == []
+
+
+async def test_grant_that_waited_until_the_term_ended_is_not_sent():
+    calls = SlowGrants({})
+    granter = Granter(calls, FAST, 10.0)
+    first = create_task(granter.grant(make_record("u0"), HELD))
+    await sleep(0)
+    second = create_task(granter.grant(make_record("u0"), FREED))
+    await sleep(FAST.call_timeout_s / 2)
+    granter.acts = False
+    assert not await first
+    assert not await second
+    assert [keys for _, _, keys, _ in calls.calls] == [HELD]
--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -1,7 +1,7 @@
 """Freeing keys at their earlier holders and granting them to the next."""
 
 from asyncio import gather, sleep
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from time import monotonic
 
@@ -120,7 +120,11 @@
         return False
 
     async def grant_once(
-        self, record: UpstreamRecord, keys: KeyRange, handover: str = ""
+        self,
+        record: UpstreamRecord,
+        keys: KeyRange,
+        handover: str = "",
+        stands: Callable[[], bool] | None = None,
     ) -> bool | None:
         """
         Grant keys once.
@@ -133,6 +137,8 @@
             Keys and their fencing token.
         handover : str
             From the last holder; empty for none.
+        stands : callable, optional
+            Says whether the keys are still meant for this upstream.
 
         Returns
         -------
@@ -140,7 +146,8 @@
             Whether it has the keys; None if it didn't answer.
         """
         try:
-            return await self._granter.grant(record, keys, handover) or None
+            held = await self._granter.grant(record, keys, handover, stands=stands)
+            return held or None
         except GrantRefusedError as error:
             write_event(
                 "grant_refused",
