--- a/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
+++ b/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
@@ -94,7 +94,7 @@
 async def take_reports_of_many():
     """Return the processor time in seconds of one round of reports."""
     names = [f"u{number}" for number in range(UPSTREAMS)]
-    coordinator, view = await make_coordinator(MemoryGrants({}))
+    coordinator, _ = await make_coordinator(MemoryGrants({}))
     members = [f"router-{number}" for number in range(MEMBERS)]
     share = UPSTREAMS // MEMBERS * 2
     reports = [
