Give up calls to the store that hang since an outage

Traced in the logs of edge-svea-d-2 and edge-svea-c-1: in the silent outage at 1 to 5 s the calls that wait for changes (8 s and 1 s of margin) were left without an answer for 9 s, as the outage had cut their connections silently; the store answered other calls again from 5.2 s. The coordinator that should have passed changes on hung in the same way, so nobody adopted version 8 for 2.6 s after its acknowledgement. Change: when the coordinator or the store's answer to another call shows that there is something to read, a call for changes that has waited for 0.3 s is given up and made anew without a wait. Result: two tests, the first fails without the change.

--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -1,7 +1,7 @@
 """Following one table of the store, directly or through the coordinator."""
 
 from abc import ABC, abstractmethod
-from asyncio import Event, sleep, timeout
+from asyncio import Event, Timeout, get_running_loop, sleep, timeout
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
@@ -25,6 +25,9 @@
 # First and longest pause in seconds between calls that fail.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+# Seconds after which a call that waits for changes may hang on a connection that an
+# outage has made silent; the store answers others within some ms.
+DOUBTFUL_S = 0.3
 
 
 class TableSink(ABC):
@@ -82,6 +85,10 @@
     While the coordinator passes the changes on, the store isn't asked: one reader
     serves all instances. One that misses changes asks for them itself, and when the
     coordinator falls silent each instance follows the store on its own again.
+
+    A call waits for changes for seconds. When something else shows that there are
+    changes, or that the store is back, one that is under way is given up and made anew,
+    since its connection may have gone silent in the outage.
     """
 
     def __init__(
@@ -104,6 +111,9 @@
         self._relay_until = float("-inf")
         self._relayed_version = 0
         self._woken = Event()
+        self._waiting: Timeout | None = None
+        self._waiting_since = 0.0
+        self._hurries = False
         self.table = table
         self.leads = False
 
@@ -153,6 +163,7 @@
             )
             self._relayed_version = max(self._relayed_version, change.version)
             self._woken.set()
+            self._renew_call()
             return
         if lasts_s > 0.0:
             self._note_answer()
@@ -177,6 +188,7 @@
         """Ask the store, whatever the coordinator has said."""
         self._relay_until = float("-inf")
         self._woken.set()
+        self._renew_call()
 
     async def follow(self) -> None:
         """Follow the table until cancelled."""
@@ -221,18 +233,42 @@
             self._sink.replace_table(self.table, view)
             self._announce()
             return
-        view = await self._store.watch(self.table, known, self._choose_wait_s(known))
+        changed = await self._watch(known)
+        if changed is None:
+            return
         self._answered_at = monotonic()
         self._note_answer()
-        if self._adopt(view):
+        if self._adopt(changed):
             # Changes come in groups; one call then brings several.
             few = self._settings.gather_s
             await sleep(few if self.leads else self._sink.choose_gather_s())
 
+    async def _watch(self, known: int) -> TableView | None:
+        """Wait for changes; return None if the call was given up."""
+        wait_s = self._choose_wait_s(known)
+        self._hurries = False
+        self._waiting_since = monotonic()
+        try:
+            async with timeout(None) as self._waiting:
+                return await self._store.watch(self.table, known, wait_s)
+        except TimeoutError:
+            write_event("feed_call_renewed", table=self.table, version=known)
+            self._hurries = True
+            return None
+        finally:
+            self._waiting = None
+
+    def _renew_call(self) -> None:
+        waiting = self._waiting
+        if waiting is None or waiting.expired():
+            return
+        if monotonic() - self._waiting_since > DOUBTFUL_S:
+            waiting.reschedule(get_running_loop().time())
+
     def _choose_wait_s(self, known: int) -> float:
         # After an outage the first answer shows that the store is back, and one that
         # lags wants to know what there is: neither must wait for a change.
-        if self._away or known < self._relayed_version:
+        if self._away or self._hurries or known < self._relayed_version:
             return 0.0
         return self._settings.lead_wait_s if self.leads else self._settings.wait_s
 
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -82,6 +82,7 @@
         self._row_version = 0
         self._row_changed_at = monotonic()
         self._row_read_at = 0.0
+        self._row_unread = False
         self._heard_at = 0.0
         self._connected_at = 0.0
         self._resigned = False
@@ -132,6 +133,7 @@
             try:
                 await self._step()
             except StoreUnavailableError as error:
+                self._row_unread = True
                 write_event("coordinator_row_unread", error=str(error))
             except Exception as error:
                 write_event("follower_failed", error=repr(error))
@@ -168,6 +170,11 @@
     async def _read_row(self) -> None:
         view = await self._platform.store.read(COORDINATOR_TABLE)
         now = monotonic()
+        if self._row_unread:
+            # The store is back; calls made in the outage may never be answered.
+            self._row_unread = False
+            for feed in self.feeds:
+                feed.ask_again()
         gap_s = now - self._row_read_at
         self._row_read_at = now
         self._probe.note_answer(now)
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
-from plantaincart_router.direct.feed import TableFeed, TableSink
+from plantaincart_router.direct.feed import DOUBTFUL_S, TableFeed, TableSink
 from plantaincart_router.direct.settings import FeedSettings
 from plantaincart_router.direct.store import StoreUnavailableError
 from plantaincart_router.direct.tests.fakes import MemoryClient, MemoryStore
@@ -311,3 +311,46 @@
     finally:
         for reader in members:
             reader.task.cancel()
+
+
+class SilentStore(CountingStore):
+    """A store whose first call for changes hangs, as on a forgotten connection."""
+
+    def __init__(self, store, name):
+        super().__init__(store, name)
+        self.waits = []
+
+    async def watch(self, table, after, wait_s):
+        self.waits.append(wait_s)
+        if len(self.waits) == 1:
+            await sleep(60.0)
+        return await super().watch(table, after, wait_s)
+
+
+async def test_call_that_hangs_since_an_outage_is_given_up():
+    """Pattern of an outage in which connections go silent; 9 s without news."""
+    store = MemoryStore()
+    store.put(TABLE, "u0", b"0")
+    client, sink = SilentStore(store, "member"), Rows()
+    feed = TableFeed(client, TABLE, sink, replace(TIMES, wait_s=8.0))
+    following = create_task(feed.follow())
+    await sleep(DOUBTFUL_S + 0.05)
+    store.put(TABLE, "u1", b"1")
+    feed.ask_again()
+    await sleep(PASSED_ON_S)
+    following.cancel()
+    assert sink.rows == {"u0": b"0", "u1": b"1"}
+    assert client.waits[1] == 0.0
+    assert not sink.losses
+
+
+async def test_call_that_has_just_begun_is_left_alone():
+    store = MemoryStore()
+    client, sink = SilentStore(store, "member"), Rows()
+    feed = TableFeed(client, TABLE, sink, TIMES)
+    following = create_task(feed.follow())
+    await sleep(0.02)
+    feed.ask_again()
+    await sleep(0.02)
+    following.cancel()
+    assert len(client.waits) == 1
