Soak the real program with faults from outside

Cause: the users ask for a randomized soak of the real programs as separate processes; there was none, and the straight path had no test with real processes at all.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV = .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup up demo test lint bench generate check-generated
+.PHONY: setup up demo test lint bench soak generate check-generated
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -36,3 +36,6 @@
 
 bench: setup
 	$(BIN)/python -m plantaincart_testing.bench $(PART) $(ARGS)
+
+soak: setup
+	PYTHONPATH=platform $(BIN)/python -m plantaincart_soak $(ARGS)
--- a/packages/testing/plantaincart_testing/process.py
+++ b/packages/testing/plantaincart_testing/process.py
@@ -1,8 +1,9 @@
 """Child processes of a local system."""
 
 from asyncio import sleep
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from ctypes import CDLL
+from os import environ
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Signals
 from subprocess import Popen
@@ -35,13 +36,22 @@
         Program and arguments.
     output : Path
         File that takes its standard output and error.
+    environment : mapping of str to str, optional
+        Variables besides those of this process.
     """
 
-    def __init__(self, name: str, command: Sequence[str], output: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: Sequence[str],
+        output: Path,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.output = output
         self.ended_at_ns: int | None = None
         self._command = list(command)
+        self._environment = {**environ, **(environment or {})}
         self._process: Popen[bytes] | None = None
 
     @property
@@ -71,6 +81,7 @@
                 self._command,
                 stdout=output,
                 stderr=output,
+                env=self._environment,
                 preexec_fn=_end_with_parent,
             )
 
