--- a/packages/testing/plantaincart_testing/launch.py
+++ b/packages/testing/plantaincart_testing/launch.py
@@ -18,7 +18,14 @@
 from plantaincart_testing.toml import write_toml
 from plantaincart_testing.upstream_settings import UpstreamProcessSettings
 
-__all__ = ["PLATFORM", "PROXY", "Launch", "SystemOptions", "choose_host"]
+__all__ = [
+    "PLATFORM",
+    "PROXY",
+    "Launch",
+    "SystemOptions",
+    "choose_host",
+    "release_host",
+]
 
 PLATFORM = "platform"
 PROXY = "proxy"
@@ -242,6 +249,11 @@
     raise StartError("no loopback address has all ports free")
 
 
+def release_host(host: str) -> None:
+    """Let an address be chosen again."""
+    _used_hosts.discard(host)
+
+
 def _is_free(host: str, port: int) -> bool:
     with socket() as probe:
         try:
