Part the choice of moves from carrying them out

placement.py had 469 lines: deciding which keys move, and writing, releasing and granting. The first is now planner.py, without calls to store or upstreams.

--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -1,23 +1,20 @@
 """The coordinator's work on one service: who owns which keys, and moves."""
 
 from asyncio import Task, create_task, sleep
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import replace
 from time import monotonic
 
-from plantaincart_core.division import divide_keys
-from plantaincart_core.hotspot import plan_hot_keys
 from plantaincart_core.keyload import KeyLoads
-from plantaincart_core.keymove import KeyMove, Owner, SpreadSettings
+from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEYS, KeyRange, OwnerMap
-from plantaincart_core.rangejoin import plan_joins
 from plantaincart_core.rangeset import RangeSet
-from plantaincart_core.spread import plan_moves
 from plantaincart_schema.generated.direct import OwnershipRange, OwnershipRow
 
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.holder import Holders
 from plantaincart_router.direct.ledger import OwnershipLedger
+from plantaincart_router.direct.planner import MovePlanner
 from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import StoreUnavailableError
@@ -27,13 +24,6 @@
 
 __all__ = ["ServicePlacement"]
 
-# Ranges without a usable owner that are given away in one step.
-MAX_ORPHANS = 100
-# Pieces into which the keys of a lost owner are divided at most.
-ORPHAN_PIECES = 4
-# Seconds without a new upstream before keys are divided for the first time.
-SETTLE_S = 1.0
-
 
 class ServicePlacement:
     """
@@ -75,15 +65,15 @@
         self._moving = RangeSet()
         self._free_at: dict[KeyRange, float] = {}
         self._previous: dict[tuple[int, int], tuple[str, int]] = {}
-        self._failed: set[KeyRange] = set()
         self._tasks: set[Task[None]] = set()
         self._holders = Holders(service, view)
         self._transfer = KeyTransfer(granter, self._holders)
         self._work = KeyLoads(settings.coordination.load_memory_s)
         self.owners = OwnerMap()
+        self._planner = MovePlanner(
+            service, settings, view, granter, self._holders, self._work
+        )
         self._balanced_at = 0.0
-        self._first_count = 0
-        self._first_changed_at = monotonic()
 
     def resume(self, row: OwnershipRow) -> None:
         """
@@ -169,20 +159,27 @@
     async def step(self) -> None:
         """Give keys without a usable owner to others, and balance the load."""
         self._holders.remember()
-        owners = self._list_owners()
+        planner = self._planner
+        owners = planner.list_owners()
         if not any(owner.receives for owner in owners.values()):
             return
-        divided = self._moving or any(keys.owner for keys in self.owners)
-        moves = self._plan_orphans(owners) if divided else self._plan_first(owners)
-        now = monotonic()
-        rebalance_s = self._settings.coordination.rebalance_s
-        if divided and not moves and now - self._balanced_at >= rebalance_s:
-            self._balanced_at = now
-            self._join_neighbours()
-            moves = self._plan_empty(owners) or self._plan_balance(owners)
+        if self._moving or any(keys.owner for keys in self.owners):
+            moves = planner.plan_orphans(self.owners, self._moving, owners)
+            if not moves and self._is_balance_due():
+                self._join_neighbours()
+                moves = planner.plan_balance(self.owners, self._moving, owners)
+        else:
+            moves = planner.plan_first(owners)
         if moves:
             await self._carry_out(moves)
 
+    def _is_balance_due(self) -> bool:
+        now = monotonic()
+        if now - self._balanced_at < self._settings.coordination.rebalance_s:
+            return False
+        self._balanced_at = now
+        return True
+
     def regrant(self, refused: Iterable[KeyRange]) -> None:
         """
         Grant keys to their owners again, with new fencing tokens.
@@ -236,115 +233,6 @@
                 return previous
         return ("", 0)
 
-    def _list_owners(self) -> dict[str, Owner]:
-        directory = self._view.directory
-        now = monotonic()
-        owners = {}
-        for record in directory:
-            if record.service != self._service:
-                continue
-            working = directory.can_work(record)
-            failing = self._granter.is_failing(record.id, record.born)
-            slowness = max(0.3, self._view.loads.get(record.id).slowness)
-            cold = directory.warmup_left_s(record.id, now) > 0.0
-            owners[record.id] = Owner(
-                id=record.id,
-                born=record.born,
-                capacity=record.slots / slowness if working else 1e-6,
-                receives=working and not failing and not cold,
-            )
-        if not any(owner.receives for owner in owners.values()):
-            # Cold ones are better than none.
-            return {
-                name: replace(owner, receives=owner.capacity > 1e-3)
-                for name, owner in owners.items()
-            }
-        return owners
-
-    def _plan_first(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
-        receivers = [owner for owner in owners.values() if owner.receives]
-        receivers.sort(key=lambda owner: owner.id)
-        now = monotonic()
-        if self._first_count != len(receivers):
-            self._first_count = len(receivers)
-            self._first_changed_at = now
-        if now - self._first_changed_at < SETTLE_S:
-            return []
-        return divide_keys(receivers)
-
-    def _plan_empty(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
-        """Give an owner without keys half of the widest range."""
-        if self._moving:
-            return []
-        held = {keys.owner for keys in self.owners}
-        for owner in owners.values():
-            if not owner.receives or owner.id in held:
-                continue
-            widest = max(self.owners, key=lambda keys: keys.last - keys.first)
-            middle = (widest.first + widest.last + 1) // 2
-            if widest.last <= widest.first or not widest.owner:
-                return []
-            return [
-                KeyMove(
-                    first=middle,
-                    last=widest.last,
-                    source=widest.owner,
-                    target=owner.id,
-                )
-            ]
-        return []
-
-    def _plan_orphans(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
-        """Plan for keys whose owner has gone, is leaving or can't be reached."""
-        orphans = [
-            keys
-            for keys in self.owners
-            if self._is_orphan(keys) and not self._is_moving(keys)
-        ]
-        receivers = [owner for owner in owners.values() if owner.receives]
-        if not orphans or not receivers:
-            return []
-        held = self._work.sum_by_owner(self.owners)
-        moves: list[KeyMove] = []
-        for keys in orphans[:MAX_ORPHANS]:
-            for first, last, load in self._work.divide(keys, ORPHAN_PIECES):
-                fitting = [one for one in receivers if one.id != keys.owner]
-                if not fitting:
-                    continue
-                target = min(
-                    fitting, key=lambda one: held.get(one.id, 0.0) / one.capacity
-                )
-                held[target.id] = held.get(target.id, 0.0) + load
-                moves.append(
-                    KeyMove(first=first, last=last, source=keys.owner, target=target.id)
-                )
-        return moves
-
-    def _is_orphan(self, keys: KeyRange) -> bool:
-        if keys in self._failed:
-            return True
-        record = self._holders.find_present(keys.owner, keys.born)
-        if record is None or not self._view.directory.can_work(record):
-            return True
-        failing = self._granter.is_failing(record.id, record.born)
-        ended = monotonic() > self._granter.hold_end(record.id, record.born)
-        return failing and ended
-
-    def _plan_balance(self, owners: Mapping[str, Owner]) -> list[KeyMove]:
-        settings: SpreadSettings = self._settings.spread
-        loads = self._work.loads
-        moves = plan_hot_keys(self.owners, loads, owners, settings, self._moving)
-        moves += plan_moves(
-            self.owners,
-            loads,
-            owners,
-            self._work.request_load,
-            settings,
-            self._moving,
-        )
-        # Moves that touch keys of an earlier one are left out when carried out.
-        return moves + plan_joins(self.owners, loads, owners, settings)
-
     def _join_neighbours(self) -> None:
         """Give neighbouring ranges of one owner a common fencing token."""
         ranges = list(self.owners)
@@ -359,7 +247,7 @@
             run = ranges[start:end]
             start = end
             if len(run) < 2 or any(
-                not one.owner or self._is_moving(one) or self._is_orphan(one)
+                not one.owner or self._is_moving(one) or self._planner.is_orphan(one)
                 for one in run
             ):
                 continue
@@ -407,7 +295,7 @@
             raise
         for keys, held in started:
             self._begin(keys, held)
-        self._failed &= set(self.owners)
+        self._planner.failed.intersection_update(self.owners)
         write_event(
             "keys_moving",
             service=self._service,
@@ -457,7 +345,7 @@
             self._granter.stand(self._service, record, keys)
             self._ledger.publish(self._service, keys)
         else:
-            self._failed.add(keys)
+            self._planner.failed.add(keys)
             write_event(
                 "move_failed",
                 service=self._service,
