Doubt new connections for 3 s after one was closed at once

An upstream that closes new connections was doubted until one had stayed open; the next new connection got a request at once, and that was lost. Ruled out: connections that are kept. Change: for 3 s after one was closed at once, nothing is sent on a new connection before it has stayed open for 10 ms. A test fails without it.

--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -96,21 +96,20 @@
             closed an earlier one.
         """
         limit_s = min(timeout_s, self._settings.connect_timeout_s)
-        doubtful = self.reach.is_doubtful(record)
+        doubtful = self.reach.is_doubtful(record, monotonic())
         self.reach.begin_attempt(record, monotonic())
         try:
             connection = await HttpConnection.open(
                 record.host, record.port, limit_s, True
             )
-            if doubtful:
-                await sleep(CLOSED_AT_ONCE_S)
-                if not connection.reusable:
-                    raise ConnectFailedError(
-                        f"{record.host}:{record.port}: closed at once"
-                    )
         except ConnectFailedError:
             self.reach.note_failure(record, monotonic())
             raise
+        if doubtful:
+            await sleep(CLOSED_AT_ONCE_S)
+            if not connection.reusable:
+                self.reach.note_closed_at_once(record, monotonic())
+                raise ConnectFailedError(f"{record.host}:{record.port}: closed at once")
         self.reach.note_success(record)
         return connection
 
--- a/packages/router/plantaincart_router/direct/reach.py
+++ b/packages/router/plantaincart_router/direct/reach.py
@@ -9,6 +9,9 @@
 # noticed within the longer one.
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 1.0
+# Seconds after a connection was closed at once in which nothing is sent on a new one
+# before it has stayed open: an upstream's queue, which goes with that, lasts for some.
+DOUBT_S = 3.0
 
 
 class ReachBook:
@@ -45,6 +48,7 @@
     def __init__(self) -> None:
         self._failures: dict[tuple[str, int], int] = {}
         self._paused_until: dict[tuple[str, int], float] = {}
+        self._closed_at: dict[tuple[str, int], float] = {}
 
     def note_failure(self, record: UpstreamRecord, now: float) -> None:
         """Note that a connection couldn't be opened."""
@@ -52,6 +56,11 @@
         self._failures[who] = self._failures.get(who, 0) + 1
         self._paused_until[who] = now + self._choose_pause(who)
 
+    def note_closed_at_once(self, record: UpstreamRecord, now: float) -> None:
+        """Note that a new connection ended as soon as something was sent on it."""
+        self._closed_at[record.id, record.born] = now
+        self.note_failure(record, now)
+
     def note_success(self, record: UpstreamRecord) -> None:
         """Note that a connection was opened."""
         who = (record.id, record.born)
@@ -61,6 +70,7 @@
     def forget(self, record: UpstreamRecord) -> None:
         """Drop what is known of an upstream that has gone."""
         self.note_success(record)
+        self._closed_at.pop((record.id, record.born), None)
 
     def begin_attempt(self, record: UpstreamRecord, now: float) -> None:
         """Let others wait while a request tries an upstream that had failed."""
@@ -68,9 +78,36 @@
         if who in self._failures:
             self._paused_until[who] = now + self._choose_pause(who)
 
-    def is_doubtful(self, record: UpstreamRecord) -> bool:
-        """Whether the last connection to an upstream failed."""
-        return (record.id, record.born) in self._failures
+    def is_doubtful(self, record: UpstreamRecord, now: float) -> bool:
+        """
+        Whether a new connection to an upstream may be closed at once.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            The upstream.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the last connection failed, or one was closed at once lately.
+
+        Examples
+        --------
+        >>> book = ReachBook()
+        >>> record = UpstreamRecord(
+        ...     id="u1", born=5, service="desk", host="127.0.0.1", port=80,
+        ...     data_centre="a", slots=2, ready=True, warmup_left_s=0.0)
+        >>> book.note_closed_at_once(record, now=10.0)
+        >>> book.note_success(record)
+        >>> book.is_doubtful(record, now=12.9), book.is_doubtful(record, now=13.1)
+        (True, False)
+        """
+        who = (record.id, record.born)
+        closed_at = self._closed_at.get(who, float("-inf"))
+        return who in self._failures or now - closed_at < DOUBT_S
 
     def left_s(self, record: UpstreamRecord, now: float) -> float:
         """Return the seconds until the upstream should be tried again."""
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -170,7 +170,7 @@
                 at_once = is_new and monotonic() - sent_at < CLOSED_AT_ONCE_S
                 if at_once:
                     # It has too many connections; nobody else should send it one.
-                    self._pools.reach.note_failure(record, monotonic())
+                    self._pools.reach.note_closed_at_once(record, monotonic())
                 raise LostError(str(error), closed_at_once=at_once) from error
             raise NotRunError(str(error), False, False) from error
         idle_s = self._dialect.read_answer(answer).idle_timeout_s
--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -154,6 +154,30 @@
     assert (given.status, verdict(given)) == (503, "not-run")
 
 
+async def test_doubt_outlasts_a_connection_that_stays_open():
+    """Pattern hot_key in a large fleet: its owner closes new ones for seconds."""
+
+    class FullUpstream(Upstream):
+        full = False
+
+        async def serve(self, reader, writer):
+            if self.full:
+                writer.transport.abort()
+                return
+            await super().serve(reader, writer)
+
+    upstream = FullUpstream(break_off())
+    plan = make_plan(idempotent=False, timeout_s=2.0)
+    async with run_gateway(upstream, plan=plan) as (gateway, _):
+        await ask(gateway, left_s=2.0)
+        await sleep(0.3)
+        assert (await ask(gateway, left_s=2.0)).status == 200
+        upstream.full = True
+        gateway._sender._pools.close()
+        given = await ask(gateway, left_s=2.0)
+    assert (given.status, verdict(given)) == (503, "not-run")
+
+
 async def test_unreachable_upstream_without_keys_is_passed_over():
     """Pattern srv_crash: each request found out for itself that one is gone."""
     plan = make_plan(keyed=False)
