Count an upstream's leaving from when its table was last known

Traced in edge-windhoek-a-4's log: the coordinator was cut off one way, so that it went on passing on what it knew, up to 1.0 s old, but heard nothing new; the change was taken over 1 s after its acknowledgement, and the owner was then used for another 1.2 s, since the bound was counted from the taking over, less 0.2 s for gathering. Ruled out: calls of the instances themselves (they asked as soon as the relay was too old). Change: with what is new a table's sink is told up to when the table was known before, by the store's answer or by the age that the coordinator names; leaving counts from then. Result: two tests, failing without it.

--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -34,12 +34,35 @@
     """Takes over what a feed reads."""
 
     @abstractmethod
-    def replace_table(self, table: str, view: TableView) -> None:
-        """Take over a full read."""
+    def replace_table(self, table: str, view: TableView, since: float) -> None:
+        """
+        Take over a full read.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        view : TableView
+            All its rows.
+        since : float
+            Time in seconds up to which the table was known before; what is new in it
+            was written after that.
+        """
 
     @abstractmethod
-    def change_table(self, table: str, view: TableView) -> None:
-        """Take over changes."""
+    def change_table(self, table: str, view: TableView, since: float) -> None:
+        """
+        Take over changes.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        view : TableView
+            Rows that have changed.
+        since : float
+            Time in seconds up to which the table was known before.
+        """
 
     @abstractmethod
     def lose_store(self) -> None:
@@ -108,6 +131,7 @@
         self._away = False
         self._pause_s = FIRST_PAUSE_S
         self._answered_at = float("-inf")
+        self._known_until = float("-inf")
         self._relay_until = float("-inf")
         self._relayed_version = 0
         self._woken = Event()
@@ -167,10 +191,11 @@
             return
         if lasts_s > 0.0:
             self._note_answer()
-        if change.version <= known:
+        if change.version < known:
             return
         rows = [_unpack_row(row) for row in change.rows]
-        self._adopt(TableView(rows=rows, version=change.version))
+        known_until = monotonic() - change.age_s
+        self._adopt(TableView(rows=rows, version=change.version), known_until)
 
     def note_outage(self) -> None:
         """
@@ -226,11 +251,13 @@
     async def _step(self) -> None:
         known = self._history.version
         if known is None:
+            began = monotonic()
             view = await self._store.read(self.table)
             self._answered_at = monotonic()
             self._note_answer()
             self._history.restart(view.version)
-            self._sink.replace_table(self.table, view)
+            self._sink.replace_table(self.table, view, self._known_until)
+            self._known_until = began
             self._announce()
             return
         changed = await self._watch(known)
@@ -238,7 +265,7 @@
             return
         self._answered_at = monotonic()
         self._note_answer()
-        if self._adopt(changed):
+        if self._adopt(changed, self._answered_at):
             # Changes come in groups; one call then brings several.
             few = self._settings.gather_s
             await sleep(few if self.leads else self._sink.choose_gather_s())
@@ -272,8 +299,10 @@
             return 0.0
         return self._settings.lead_wait_s if self.leads else self._settings.wait_s
 
-    def _adopt(self, view: TableView) -> bool:
+    def _adopt(self, view: TableView, known_until: float) -> bool:
         """Take over the changes that aren't known yet; say whether there were any."""
+        since = self._known_until
+        self._known_until = max(since, known_until)
         known = self._history.version or 0
         rows = [
             replace(row, version=row.version or view.version)
@@ -283,7 +312,7 @@
         fresh = TableView(rows=rows, version=view.version)
         self._history.add(fresh)
         if rows:
-            self._sink.change_table(self.table, fresh)
+            self._sink.change_table(self.table, fresh, since)
             self._announce()
         return bool(rows)
 
--- a/packages/router/plantaincart_router/direct/tests/test_feed.py
+++ b/packages/router/plantaincart_router/direct/tests/test_feed.py
@@ -38,10 +38,10 @@
         self.members = members
         self.seen = set()
 
-    def replace_table(self, table, view):
-        self.change_table(table, view)
+    def replace_table(self, table, view, since):
+        self.change_table(table, view, since)
 
-    def change_table(self, table, view):
+    def change_table(self, table, view, since):
         self.seen |= {row.key for row in view.rows}
 
     def lose_store(self):
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -400,21 +400,25 @@
         closures = TableView(rows=[StoreRow(key="closed", version=1)], version=1)
         reads = [("operator", closures), ("upstreams", upstreams)]
         for table, rows in reads if closed_first else reversed(reads):
-            view.replace_table(table, rows)
+            view.replace_table(table, rows, float("-inf"))
         assert not view.can_hold(view.directory.get("u0"))
 
 
-async def test_owner_of_a_data_centre_that_closes_may_finish_its_handover():
+@pytest.mark.parametrize(("unknown_s", "may_finish"), [(0.5, True), (4.0, False)])
+async def test_owner_of_a_data_centre_that_closes(unknown_s, may_finish):
+    """Pattern core_cut: the closure comes late, and has been in force for long."""
     settings = make_settings()
     view = SystemView(settings, ClosingReader(), UpstreamPools(settings.send))
-    view.replace_table("operator", TableView(rows=[], version=1))
+    view.replace_table("operator", TableView(rows=[], version=1), float("-inf"))
     row = StoreRow(key="u0", version=1)
-    view.replace_table("upstreams", TableView(rows=[row], version=1))
+    upstreams = TableView(rows=[row], version=1)
+    view.replace_table("upstreams", upstreams, float("-inf"))
     closure = StoreRow(key="closed", version=2)
-    view.change_table("operator", TableView(rows=[closure], version=2))
+    changes = TableView(rows=[closure], version=2)
+    view.change_table("operator", changes, monotonic() - unknown_s)
     record = view.directory.get("u0")
     assert not view.directory.can_work(record)
-    assert view.can_hold(record)
+    assert view.can_hold(record) is may_finish
 
 
 async def test_leaving_upstream_gets_no_unkeyed_work():
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -3,6 +3,7 @@
 from asyncio import create_task, get_running_loop, sleep
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from time import monotonic
 
 from plantaincart_router.direct.feed import DOUBTFUL_S, TableFeed, TableSink
 from plantaincart_router.direct.settings import FeedSettings
@@ -51,11 +52,13 @@
         self.rows = {}
         self.lost = False
         self.losses = 0
+        self.known_until = []
 
-    def replace_table(self, table, view):
+    def replace_table(self, table, view, since):
         self.rows = {row.key: row.value for row in view.rows}
 
-    def change_table(self, table, view):
+    def change_table(self, table, view, since):
+        self.known_until.append(since)
         for row in view.rows:
             if row.deleted:
                 self.rows.pop(row.key, None)
@@ -354,3 +357,18 @@
     await sleep(0.02)
     following.cancel()
     assert len(client.waits) == 1
+
+
+async def test_changes_come_with_the_time_up_to_which_the_table_was_known():
+    """Pattern core_cut one_way: the coordinator speaks, but hears nothing new."""
+    async with read_at_second_hand() as (store, leader, member):
+        await tell_for(leader, member, 0.1)
+        told_until = monotonic()
+        leader.client.hang_s = 60.0
+        await sleep(1.2 * TIMES.lead_wait_s)
+        store.put(TABLE, "u1", b"1")
+        await tell_for(leader, member, TIMES.relay_lasts_s + 2 * TIMES.wait_s)
+        assert member.sink.rows["u1"] == b"1"
+        (known_until,) = member.sink.known_until
+        assert told_until - TIMES.lead_wait_s - 0.1 < known_until
+        assert known_until < told_until + TIMES.wait_s
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -28,7 +28,8 @@
 
 # Keys reported at a time; what is beyond it counts in the next report.
 MAX_REPORTED_KEYS = 512
-# Part of the bound on a leaving owner's last request that is made use of.
+# Part of the bound on a leaving owner's last request that is made use of. The bound
+# runs from the store's acknowledgement, which came after the table was last known.
 LEAVING_SHARE = 0.7
 # Seconds for which the highest count of instances is believed.
 MEMBERS_LAST_S = 5.0
@@ -74,27 +75,27 @@
         self.loads = LoadBook(settings.load)
         self._changed = Event()
 
-    def replace_table(self, table: str, view: TableView) -> None:
+    def replace_table(self, table: str, view: TableView, since: float) -> None:
         """Take over a full read of a table."""
         if table == self._reader.upstream_table:
             records = [self._reader.read_upstream(row) for row in view.rows]
             known = {one.id: one for one in self.directory}
             now = monotonic()
             self.directory.replace_all([one for one in records if one], now)
-            self._note_leaving(known)
+            self._note_leaving(known, since)
             self.upstreams_known = True
             write_event("upstreams_read", count=len(self.directory))
         else:
             self._closed_by_row.clear()
-            self.change_table(table, view)
+            self.change_table(table, view, since)
         self._announce()
 
-    def change_table(self, table: str, view: TableView) -> None:
+    def change_table(self, table: str, view: TableView, since: float) -> None:
         """Take over changes of a table."""
         if table == self._reader.upstream_table:
-            self._change_upstreams(view)
+            self._change_upstreams(view, since)
         else:
-            self._change_operator_rows(view)
+            self._change_operator_rows(view, since)
         self._announce()
 
     def lose_store(self) -> None:
@@ -169,10 +170,7 @@
         bounds = self._settings.bounds
         bound_s = bounds.evacuate_s if record.ready else bounds.drain_s
         since = self._leaving_since.get(record.id, float("-inf"))
-        # The bound runs from the store's acknowledgement, which came sooner by what
-        # changes are gathered for.
-        last_s = bound_s * LEAVING_SHARE - self.choose_gather_s()
-        return monotonic() - since < last_s
+        return monotonic() - since < bound_s * LEAVING_SHARE
 
     async def wait_for_change(self) -> None:
         """Wait until the map or the upstreams change."""
@@ -207,7 +205,7 @@
         refusing, self._refusing = self._refusing, []
         return refusing
 
-    def _change_upstreams(self, view: TableView) -> None:
+    def _change_upstreams(self, view: TableView, since: float) -> None:
         known = {one.id: one for one in self.directory}
         now = monotonic()
         for row in view.rows:
@@ -217,10 +215,10 @@
                 self._log_upstream(known.get(record.id), record)
             else:
                 self.directory.remove(row.key, now)
-        self._note_leaving(known)
+        self._note_leaving(known, since)
 
-    def _note_leaving(self, known: dict[str, UpstreamRecord]) -> None:
-        now = monotonic()
+    def _note_leaving(self, known: dict[str, UpstreamRecord], told: float) -> None:
+        """Note upstreams that have begun to leave, at the earliest at a time."""
         for record in self.directory:
             if self.directory.can_work(record):
                 self._leaving_since.pop(record.id, None)
@@ -229,7 +227,7 @@
             else:
                 # One that never worked here may have been leaving for long.
                 working = record.id in self._seen_working
-                since = now if working else float("-inf")
+                since = told if working else float("-inf")
                 self._leaving_since.setdefault(record.id, since)
         for record in known.values():
             present = self.directory.get(record.id)
@@ -256,7 +254,7 @@
                 warmup_left_s=new.warmup_left_s,
             )
 
-    def _change_operator_rows(self, view: TableView) -> None:
+    def _change_operator_rows(self, view: TableView, since: float) -> None:
         for row in view.rows:
             if row.deleted:
                 self._closed_by_row.pop(row.key, None)
@@ -273,7 +271,7 @@
             self.directory.closed_data_centres = closed_now
         if changed or not self._operators_known:
             self._operators_known = True
-            self._note_leaving({})
+            self._note_leaving({}, since)
 
     def _adopt_plan(self, plan: TrafficPlan | None) -> None:
         if plan is None or (self.plan and plan.version <= self.plan.version):
