Write the owners of a service by columns

Change: the row holds columns, in which each upstream is named once and the first key of a range follows from the one before. A coordinator doesn't read rows of the earlier form, so all instances must be replaced at once.

--- a/packages/router/plantaincart_router/direct/tests/test_ownershiprow.py
+++ b/packages/router/plantaincart_router/direct/tests/test_ownershiprow.py
@@ -1,13 +1,19 @@
 """Rows of large services fit the store, and foreign bytes are refused."""
 
 from random import Random
+from zlib import compress
 
 from hypothesis import given
-from hypothesis.strategies import binary
+from hypothesis.strategies import binary, booleans, integers, lists, tuples
 from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
+from plantaincart_schema.codec import encode_json
 from plantaincart_schema.exception import MalformedMessageError
-from plantaincart_schema.generated.direct import OwnershipRange, OwnershipRow
-from pytest import raises
+from plantaincart_schema.generated.direct import (
+    OwnershipRange,
+    OwnershipRow,
+    OwnershipTable,
+)
+from pytest import mark, raises
 
 # Bound of the users' platform.
 ROW_BYTES = 65_536
@@ -23,6 +29,7 @@
     kept = []
     for first, after in zip([0, *starts], [*starts, 65_536], strict=True):
         owner, previous = random.sample(names, 2)
+        moving = random.random() < 0.05
         kept.append(
             OwnershipRange(
                 first=first,
@@ -30,8 +37,8 @@
                 owner=owner,
                 born=born[owner],
                 fence=(7 << 24) + random.randrange(10**5),
-                previous=previous if random.random() < 0.05 else "",
-                previous_born=born[previous],
+                previous=previous if moving else "",
+                previous_born=born[previous] if moving else 0,
             )
         )
     addresses = {name: f"10.2.{random.randrange(99)}.7:8504" for name in names}
@@ -40,13 +47,59 @@
     )
 
 
-def test_row_of_many_owners_fits_the_store():
-    row = make_row()
+@mark.parametrize(
+    ("owners", "ranges"), [(OWNERS, OWNERS * RANGES_PER_OWNER), (2400, 2400)]
+)
+def test_row_of_many_owners_fits_the_store(owners, ranges):
+    """The second is the sweep's largest service when it is first divided."""
+    row = make_row(owners, ranges)
     value = encode_ownership(row)
     assert len(value) <= ROW_BYTES
     assert decode_ownership(value) == row
 
 
+@given(lists(tuples(integers(0, 9), integers(0, 9), booleans()), min_size=1))
+def test_any_division_is_read_as_it_was_written(drawn):
+    ranges = []
+    for at, (owner, previous, held) in enumerate(drawn):
+        ranges.append(
+            OwnershipRange(
+                first=at * 3,
+                last=at * 3 + 2,
+                owner=f"u{owner}" if held else "",
+                born=previous if held else 0,
+                fence=at,
+                previous=f"u{previous}" if previous > 5 else "",
+                previous_born=owner if previous > 5 else 0,
+            )
+        )
+    addresses = {"u1": "10.0.0.1:1", "u77": "10.0.0.2:1"}
+    row = OwnershipRow(
+        service="desk", epoch=2, sequence=9, ranges=ranges, addresses=addresses
+    )
+    assert decode_ownership(encode_ownership(row)) == row
+
+
+@mark.parametrize(
+    "column",
+    [{"owners": [5]}, {"owners": [-2]}, {"lasts": [-1]}, {"fences": []}, {"born": []}],
+    ids=["unknown", "negative", "empty-range", "short", "unborn"],
+)
+def test_columns_that_do_not_fit_are_refused(column):
+    columns = {
+        "names": ["u1"],
+        "born": [1],
+        "addresses": [""],
+        "lasts": [9],
+        "owners": [0],
+        "fences": [3],
+        "previous": [-1],
+    }
+    table = OwnershipTable(service="s", epoch=1, sequence=1, **{**columns, **column})
+    with raises(MalformedMessageError):
+        decode_ownership(compress(encode_json(table)))
+
+
 @given(binary(max_size=64))
 def test_foreign_bytes_are_refused(value):
     with raises(MalformedMessageError):
