--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -15,8 +15,8 @@
 # the upstreams' slowness with every so many of these.
 MEMBERS_PER_LOADS = 100
 SLOWNESS_EVERY = 4
-# Seconds, for each member, for which the sums of all requests are sent as they are: some
-# 0.1 ms of processor time for each, and a tenth of a second where there are a hundred.
+# Seconds, for each member, for which the sums of all requests are sent as they are: a
+# tenth of a second where there are a hundred, so that they are encoded ten times in it.
 LOADS_LAST_S = 0.001
 # Seconds after which a change that a member doesn't know yet is sent again.
 RESEND_S = 0.6
