--- a/packages/router/plantaincart_router/direct/history.py
+++ b/packages/router/plantaincart_router/direct/history.py
@@ -52,7 +52,8 @@
 
     def add(self, view: TableView) -> None:
         """Add the changes that follow those known."""
-        self._rows.extend(view.rows)
+        # `list_since` stops at the first row that is old enough.
+        self._rows.extend(sorted(view.rows, key=lambda row: row.version))
         while len(self._rows) > self._kept:
             self._known_since = self._rows.popleft().version
         self.version = max(view.version, self.version or 0)
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -6,8 +6,13 @@
 from time import monotonic
 
 from plantaincart_router.direct.feed import DOUBTFUL_S, TableFeed, TableSink
+from plantaincart_router.direct.history import TableHistory
 from plantaincart_router.direct.settings import FeedSettings
-from plantaincart_router.direct.store import StoreUnavailableError
+from plantaincart_router.direct.store import (
+    StoreRow,
+    StoreUnavailableError,
+    TableView,
+)
 from plantaincart_router.direct.tests.fakes import MemoryClient, MemoryStore
 from plantaincart_router.direct.tests.test_coordinator import System, wait_for
 
@@ -316,6 +321,15 @@
             reader.task.cancel()
 
 
+def test_changes_that_come_out_of_order_are_all_passed_on():
+    history = TableHistory()
+    history.restart(1)
+    rows = [StoreRow(key="a", version=5), StoreRow(key="b", version=3)]
+    history.add(TableView(rows=rows, version=5))
+    assert [row.key for row in history.list_since(4)] == ["a"]
+    assert [row.key for row in history.list_since(2)] == ["b", "a"]
+
+
 class SilentStore(CountingStore):
     """A store whose first call for changes hangs, as on a forgotten connection."""
 
