--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -142,10 +142,10 @@
         Member
             A new one if the instance's process is new, or leaves.
         """
-        if report.leaving:
-            self._drop(report.member)
         member = self._members.get(report.member)
-        if member is not None and member.report.incarnation != report.incarnation:
+        if member is not None and (
+            report.leaving or member.report.incarnation != report.incarnation
+        ):
             self._drop(report.member)
             member = None
         if member is None:
--- a/packages/testing/plantaincart_testing/balancer.py
+++ b/packages/testing/plantaincart_testing/balancer.py
@@ -71,14 +71,19 @@
     Parameters
     ----------
     addresses : mapping of Address to Address
-        Admin address of each instance by its entry address.
+        Address of each instance's readiness check by its entry address.
+    target : str
+        Path of the check.
 
     Notes
     -----
     With no ready instance all are taken in turn.
     """
 
-    def __init__(self, addresses: Mapping[Address, Address]) -> None:
+    def __init__(
+        self, addresses: Mapping[Address, Address], target: str = "/ready"
+    ) -> None:
+        self._target = target
         self._clients = {
             entry: HttpClient(admin.host, admin.port, POLL_TIMEOUT_S)
             for entry, admin in addresses.items()
@@ -122,7 +127,7 @@
 
     async def _ask(self, entry: Address) -> None:
         try:
-            answer = await self._clients[entry].request("GET", "/ready")
+            answer = await self._clients[entry].request("GET", self._target)
         except ExchangeError:
             self._ready[entry] = False
             return
