Keep order, owners and upstreams when the store is restored from a copy

The store may come back from a copy some seconds old: rows written since are gone, versions go back and are handed out again, and a header names the era.

Versions now contain the era, epochs contain the era in which the term was claimed, and so do fencing tokens. The first claim in an era wins: it adds a row whose absence later writes of earlier eras require. A coordinator that excludes a takeover before the restoration goes on and writes its rows again; a new one waits for the grants that the lost rows named. Older announcements don't override what is known, closures stay until they are written again.

--- a/packages/core/plantaincart_core/directory.py
+++ b/packages/core/plantaincart_core/directory.py
@@ -1,13 +1,19 @@
 """Directory of the announced upstreams, with their readiness for new requests."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["UpstreamDirectory", "UpstreamRecord"]
 
 # By the platform's protocol, announcements that expired during an outage of the store
 # are written again within two seconds after the outage.
 REANNOUNCEMENT_GRACE_S = 2.0
+# Seconds after which the store has removed the announcement of a process that has
+# ended: three intervals of at most one second, and a margin.
+STALE_ROW_LIFETIME_S = 4.0
+# Seconds for which removed processes are remembered. The copies from which the store is
+# restored are some seconds old.
+DEPARTED_MEMORY_S = 60.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,6 +42,8 @@
         False while it is draining.
     warmup_left_s : float
         Remaining seconds of its warm-up at the time of the announcement.
+    sequence : int
+        Number of the announcement; it increases while the process lives.
     """
 
     id: str
@@ -47,6 +55,7 @@
     slots: int
     ready: bool
     warmup_left_s: float
+    sequence: int = 0
 
 
 class UpstreamDirectory:
@@ -59,6 +68,10 @@
     upstream whose announcement disappears during an outage of the store, or within
     `REANNOUNCEMENT_GRACE_S` after it, is kept until that time has passed.
 
+    A store that was restored from a copy may announce processes that have ended or are
+    draining as ready. What is known of a process is kept against older announcements;
+    those of removed processes count once the store has had time to remove them.
+
     Examples
     --------
     >>> directory = UpstreamDirectory()
@@ -73,7 +86,7 @@
     True
     >>> directory.expire(now=11.1)
     [UpstreamRecord(id='u1', born=5, service='desk', host='127.0.0.1', port=80, \
-data_centre='a', slots=2, ready=True, warmup_left_s=0.0)]
+data_centre='a', slots=2, ready=True, warmup_left_s=0.0, sequence=0)]
     """
 
     def __init__(self) -> None:
@@ -81,6 +94,8 @@
         self._warm_at: dict[str, float] = {}
         self._removal_due_at: dict[str, float] = {}
         self._displaced_born: dict[str, int] = {}
+        self._departed: dict[str, tuple[int, float]] = {}
+        self._doubted: dict[str, tuple[UpstreamRecord, float]] = {}
         self._store_unavailable = False
         self._removals_valid_at = 0.0
         self.closed_data_centres: frozenset[str] = frozenset()
@@ -113,6 +128,8 @@
             return
         if record.born <= self._displaced_born.get(record.id, -1):
             return
+        self._doubted.pop(record.id, None)
+        self._departed.pop(record.id, None)
         self._records[record.id] = record
         self._removal_due_at.pop(record.id, None)
         self._warm_at[record.id] = now + record.warmup_left_s
@@ -128,24 +145,32 @@
         now : float
             Present time in seconds.
         """
+        self._doubted.pop(upstream, None)
         if upstream not in self._records:
             return
         if self._store_unavailable or now < self._removals_valid_at:
             self._removal_due_at.setdefault(upstream, max(now, self._removals_valid_at))
         else:
-            self._discard(upstream)
+            self._discard(upstream, now)
 
-    def displace(self, record: UpstreamRecord) -> None:
+    def displace(self, record: UpstreamRecord, now: float) -> None:
         """
         Remove an upstream whose address is now used by another process.
 
         Its announcement may remain in the store for some seconds and is ignored. A
         process that starts later under the same identity is accepted again.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            The upstream.
+        now : float
+            Present time in seconds.
         """
         self._displaced_born[record.id] = record.born
         current = self._records.get(record.id)
         if current is not None and current.born == record.born:
-            self._discard(record.id)
+            self._discard(record.id, now)
 
     def replace_all(self, records: Iterable[UpstreamRecord], now: float) -> None:
         """
@@ -161,13 +186,49 @@
         listed = set()
         for record in records:
             listed.add(record.id)
+            doubted = self._doubted.get(record.id)
+            if doubted is not None and doubted[0].born == record.born:
+                continue
             current = self._records.get(record.id)
-            if current is None or current != record:
+            if current is not None and current == replace(
+                record, sequence=current.sequence
+            ):
+                # The remaining warm-up counts from the announcement read first.
+                self._records[record.id] = record
+            else:
                 self.put(record, now)
             self._removal_due_at.pop(record.id, None)
         for upstream in [name for name in self._records if name not in listed]:
             self.remove(upstream, now)
 
+    def replace_restored(self, records: Iterable[UpstreamRecord], now: float) -> None:
+        """
+        Replace the contents after the store was restored from a copy.
+
+        Parameters
+        ----------
+        records : iterable of UpstreamRecord
+            All announcements in the store; some may be older than what is known.
+        now : float
+            Present time in seconds.
+        """
+        self.defer_removals_until(now + REANNOUNCEMENT_GRACE_S)
+        newest = []
+        for record in records:
+            current = self._records.get(record.id)
+            born, departed_at = self._departed.get(record.id, (-1, float("-inf")))
+            if current is not None:
+                is_older = (record.born, record.sequence) < (
+                    current.born,
+                    current.sequence,
+                )
+                newest.append(current if is_older else record)
+            elif record.born <= born and now - departed_at < DEPARTED_MEMORY_S:
+                self._doubted[record.id] = (record, now + STALE_ROW_LIFETIME_S)
+            else:
+                newest.append(record)
+        self.replace_all(newest, now)
+
     def record_outage(self) -> None:
         """Record that the store is unavailable."""
         self._store_unavailable = True
@@ -209,10 +270,13 @@
         list of UpstreamRecord
             Records of the removed upstreams.
         """
-        if self._store_unavailable or not self._removal_due_at:
+        if self._store_unavailable:
             return []
+        for record, accepted_at in list(self._doubted.values()):
+            if accepted_at <= now:
+                self.put(record, now)
         due = [name for name, due_at in self._removal_due_at.items() if due_at <= now]
-        return [self._discard(upstream) for upstream in due]
+        return [self._discard(upstream, now) for upstream in due]
 
     def accepts_requests(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream may be sent new requests."""
@@ -226,7 +290,14 @@
         """Return the remaining seconds of an upstream's warm-up; 0 if it is warm."""
         return max(0.0, self._warm_at.get(upstream, 0.0) - now)
 
-    def _discard(self, upstream: str) -> UpstreamRecord:
+    def _discard(self, upstream: str, now: float) -> UpstreamRecord:
         self._removal_due_at.pop(upstream, None)
         self._warm_at.pop(upstream, None)
-        return self._records.pop(upstream)
+        record = self._records.pop(upstream)
+        self._departed = {
+            name: (born, at)
+            for name, (born, at) in self._departed.items()
+            if now - at < DEPARTED_MEMORY_S
+        }
+        self._departed[upstream] = (record.born, now)
+        return record
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from time import monotonic
 
+from plantaincart_core.era import is_epoch_of_era
 from plantaincart_core.ownermap import KeyRange
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
@@ -36,6 +37,7 @@
     StoreUnavailableError,
 )
 from plantaincart_router.direct.term import Term
+from plantaincart_router.direct.termrow import list_later_eras
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 
@@ -82,6 +84,8 @@
         Coordinator row that names this instance.
     version : int
         Version of that row.
+    era : int
+        Era of the store in which the row was written.
     notify : callable
         Sends a notice to the member with a given name.
     feeds : sequence of TableFeed
@@ -103,6 +107,11 @@
     grants for `confirmed_s` after the takeover. An upstream that doesn't answer a
     release is therefore taken to own its keys until the last of those grants has
     expired.
+
+    A store that was restored may have lost the latest ownership rows. A coordinator
+    whose term goes on writes them again before its next move. One that has just been
+    elected doesn't know to whom its predecessor granted keys, so it grants none until
+    all those grants have expired.
     """
 
     def __init__(
@@ -113,6 +122,7 @@
         calls: GrantCalls,
         term: CoordinatorRow,
         version: int,
+        era: int,
         notify: Callable[[str, CoordinatorNotice], None],
         feeds: Sequence[TableFeed],
         previous_renewed_at: float,
@@ -137,9 +147,11 @@
             store,
             term,
             version,
+            era,
             self._members,
             self.end,
             self._reset_grant_duration,
+            self._handle_reclaimed,
         )
         self._slowness_tracker = SlownessTracker()
         self._regranted_at: dict[tuple[str, int], float] = {}
@@ -147,6 +159,7 @@
         self._cached_slowness: dict[str, float] = {}
         self._slowness_cached_at = float("-inf")
         self._resumed = False
+        self._unwritten: set[str] = set()
         self._tasks: list[Task[None]] = []
         self._flush_timer: TimerHandle | None = None
         self._decayed_at = monotonic()
@@ -276,10 +289,19 @@
     def _reset_grant_duration(self) -> None:
         self._granter.grant_duration_s = self._normal_grant_duration_s
 
+    def _handle_reclaimed(self) -> None:
+        # Members reject changes of a map of an earlier epoch.
+        self._map_history.invalidate_versions()
+        self._unwritten = set(self._placements)
+        self.announce()
+
     async def _write_row(self, service: str, row: OwnershipRow) -> None:
         version = self._row_versions.get(service, 0)
         stored = StoreRow(key=service, value=encode_ownership(row), version=version)
-        self._row_versions[service] = await self._store.write(OWNERSHIP_TABLE, stored)
+        self._row_versions[service] = await self._store.write(
+            OWNERSHIP_TABLE, stored, absent=list_later_eras(self._term.era)
+        )
+        self._unwritten.discard(service)
 
     async def _resolve_conflict(self, service: str) -> None:
         view = await self._store.read(OWNERSHIP_TABLE)
@@ -313,6 +335,7 @@
             ownership = _read_ownership(row)
             if ownership is not None:
                 rows.append(ownership)
+        await self._wait_for_unknown_grants(rows)
         for ownership in rows:
             placement = self._add_placement(ownership.service)
             placement.resume(ownership)
@@ -325,13 +348,29 @@
         self._map_history.invalidate_versions()
         write_event("placements_resumed", services=len(rows))
 
-    def _extend_grant_expiries(self, row: OwnershipRow) -> None:
+    async def _wait_for_unknown_grants(self, rows: Sequence[OwnershipRow]) -> None:
+        """Wait until grants that a restored store has lost have expired."""
+        era = self._term.era
+        is_complete = bool(rows) and all(
+            is_epoch_of_era(row.epoch, era) for row in rows
+        )
+        wait_s = self._last_grant_expiry() - monotonic()
+        if era == 0 or is_complete or wait_s <= 0.0:
+            return
+        write_event("unknown_grants_awaited", era=era, wait_s=round(wait_s, 2))
+        await sleep(wait_s)
+
+    def _last_grant_expiry(self) -> float:
+        """Return the time by which all grants of the previous term have expired."""
         times = self._times
         expires_at = (
             self._previous_renewed_at + times.confirmed_s + times.call_timeout_s
         )
         expires_at += self._previous_grant_duration_s * (1.0 + times.clock_drift)
-        expires_at += times.hold_margin_s
+        return expires_at + times.hold_margin_s
+
+    def _extend_grant_expiries(self, row: OwnershipRow) -> None:
+        expires_at = self._last_grant_expiry()
         for key_range in row.ranges:
             self._granter.extend_grant_expiry(
                 key_range.owner, key_range.born, expires_at
@@ -353,6 +392,8 @@
         self._members.remove_silent(now)
         self._decay(now)
         self._view.expire()
+        for service in sorted(self._unwritten):
+            await self.write(service, self._placements[service].describe_row)
         routing_config = self._view.routing_config
         if routing_config is None or not self._view.upstreams_loaded:
             return
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -6,6 +6,7 @@
 from time import monotonic
 from uuid import uuid4
 
+from plantaincart_core.era import may_claim_term, next_epoch
 from plantaincart_schema.codec import decode_msgpack, encode_msgpack
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
@@ -27,11 +28,16 @@
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import (
     StoreConflictError,
+    StoreRow,
     StoreUnavailableError,
+    TableRows,
 )
 from plantaincart_router.direct.termrow import (
     COORDINATOR_TABLE,
     find_term,
+    is_era_claimed,
+    list_later_eras,
+    make_era_rows,
     make_term_row,
 )
 from plantaincart_router.direct.view import SystemView
@@ -85,6 +91,9 @@
         self._peer_identities: dict[str, bytes] = {}
         self._row: CoordinatorRow | None = None
         self._row_version = 0
+        self._era = 0
+        self._era_claimed = True
+        self._era_rows: list[StoreRow] = []
         self._row_changed_at = monotonic()
         self._row_read_at = 0.0
         self._row_read_failed = False
@@ -175,11 +184,13 @@
             return
         await self._read_row()
         row = self._row
-        if row is not None and not self._is_claimable(row):
-            unchanged_s = monotonic() - self._row_changed_at
-            if unchanged_s < self._times.unchanged_s:
-                return
-        await self._claim()
+        if may_claim_term(
+            has_ended=row is None or self._is_claimable(row),
+            is_era_claimed=self._era_claimed,
+            unchanged_s=monotonic() - self._row_changed_at,
+            required_s=self._times.unchanged_s,
+        ):
+            await self._claim()
 
     async def _read_row(self) -> None:
         view = await self._platform.store.read(COORDINATOR_TABLE)
@@ -192,19 +203,28 @@
         gap_s = now - self._row_read_at
         self._row_read_at = now
         self._probe.record_answer(now)
+        self._record_era(view)
         current = find_term(view)
-        if current is None:
-            self._row, self._row_version = None, 0
-            return
-        row, version = current
+        row, version = current or (None, 0)
         if version != self._row_version or gap_s > self._times.unchanged_s * 2:
             self._row_changed_at = now
+        if row is None:
+            self._row, self._row_version = None, 0
+            return
         old, self._row, self._row_version = self._row, row, version
         if row.vacant:
             return
         if old is None or (old.holder, old.epoch) != (row.holder, row.epoch):
             self._connect(row)
 
+    def _record_era(self, view: TableRows) -> None:
+        if view.era > self._era:
+            write_event("store_restored", previous=self._era, era=view.era)
+            self._era = view.era
+            self._row_changed_at = self._row_read_at
+        self._era_claimed = is_era_claimed(view)
+        self._era_rows = make_era_rows(view)
+
     async def _claim(self) -> None:
         await sleep(self._random.random() * self._times.candidate_s)
         shortage = self._settings.resources.shortage
@@ -215,7 +235,7 @@
             if self._row_version != seen_version:
                 return
         old = self._row
-        epoch = max(self._view.epoch, old.epoch if old else 0) + 1
+        epoch = next_epoch(self._era, self._view.epoch, old.epoch if old else 0)
         row = CoordinatorRow(
             holder=self._settings.name,
             address=f"{self._settings.host}:{self._settings.peer_port}",
@@ -225,7 +245,12 @@
         )
         stored = make_term_row(row, self._row_version)
         try:
-            version = await self._platform.store.write(COORDINATOR_TABLE, stored)
+            version = await self._platform.store.write(
+                COORDINATOR_TABLE,
+                stored,
+                self._era_rows,
+                list_later_eras(self._era),
+            )
         except StoreConflictError:
             self._row_read_at = 0.0
             return
@@ -238,6 +263,7 @@
             self._platform.grants,
             row,
             version,
+            self._era,
             self._notify,
             self.feeds,
             previous_renewed_at=self._row_changed_at,
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -155,6 +155,10 @@
             "map_version": ("Version of the owners' map", float(view.map_version)),
             "map_ranges": ("Ranges of the owners' map", float(ranges)),
             "epoch": ("Epoch of the coordinator that is followed", float(view.epoch)),
+            "store_era": (
+                "Times that the store was restored",
+                float(self._platform.store.era),
+            ),
             "members": (
                 "Live instances as last heard",
                 float(view.members),
--- a/packages/router/plantaincart_router/direct/store.py
+++ b/packages/router/plantaincart_router/direct/store.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from plantaincart_core.era import split_version
+
 from plantaincart_router.exception import RouterError
 
 __all__ = [
@@ -53,7 +55,8 @@
     value : bytes
         Content; empty for a deleted row.
     version : int
-        Version of the row; 0 if it doesn't exist.
+        Version of the row, made by `plantaincart_core.era.join_version`; 0 if it
+        doesn't exist.
     deleted : bool
         Whether the row was deleted.
     """
@@ -80,16 +83,32 @@
     rows: Sequence[StoreRow]
     version: int
 
+    @property
+    def era(self) -> int:
+        """Era of the store, which rises whenever it is restored from a copy."""
+        return split_version(self.version)[0]
+
 
 class Store(ABC):
     """
     Tables of versioned rows with conditional writes and a change feed.
 
+    Attributes
+    ----------
+    era : int
+        Highest era that the store has stated in an answer; 0 if it states none.
+
     Notes
     -----
     Every method raises `StoreUnavailableError` if the store gave no valid answer.
+
+    A store that is restored from a copy loses the latest writes and hands out their
+    versions again. Versions contain the era, so those of an earlier era are lower than
+    all later ones, and conditions on them aren't met.
     """
 
+    era: int = 0
+
     @abstractmethod
     async def read(self, table: str) -> TableRows:
         """Read a consistent snapshot of all rows of a table."""
@@ -111,11 +130,18 @@
         Raises
         ------
         HistoryLostError
-            If the store no longer has all changes since that version.
+            If the store no longer has all changes since that version, or was restored
+            since.
         """
 
     @abstractmethod
-    async def write(self, table: str, row: StoreRow) -> int:
+    async def write(
+        self,
+        table: str,
+        row: StoreRow,
+        also: Sequence[StoreRow] = (),
+        absent: Sequence[tuple[str, str]] = (),
+    ) -> int:
         """
         Write a row if its stored version equals that of `row`; 0 for a new row.
 
@@ -125,6 +151,11 @@
             Name of the table.
         row : StoreRow
             Key, new content, and the version that the stored row must have.
+        also : sequence of StoreRow
+            Further rows of the table, written in the same transaction under the same
+            kind of condition.
+        absent : sequence of (str, str)
+            Tables and keys of rows that must not exist.
 
         Returns
         -------
@@ -134,7 +165,8 @@
         Raises
         ------
         StoreConflictError
-            If the row has another version.
+            If a condition isn't met, or the store was restored since the version was
+            read. In the second case the row may have been written in the new era.
         """
 
     @abstractmethod
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -1,10 +1,11 @@
 """A coordinator's term: its row in the store, its renewal and its end."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import Event, get_running_loop, timeout
 from collections.abc import Callable
 from dataclasses import replace
 from time import monotonic
 
+from plantaincart_core.era import next_epoch
 from plantaincart_schema.generated.direct import CoordinatorRow
 
 from plantaincart_router.direct.membership import Membership
@@ -13,10 +14,14 @@
     Store,
     StoreConflictError,
     StoreUnavailableError,
+    TableRows,
 )
 from plantaincart_router.direct.termrow import (
     COORDINATOR_TABLE,
     find_term,
+    is_era_claimed,
+    list_later_eras,
+    make_era_rows,
     make_term_row,
 )
 from plantaincart_router.http.timeout import ReschedulableTimeout
@@ -24,6 +29,10 @@
 
 __all__ = ["Term"]
 
+# Seconds for which the store may take to answer a read before the term is given up
+# because it answers other instances.
+LAST_READ_TIMEOUT_S = 0.3
+
 
 class Term:
     """
@@ -39,15 +48,21 @@
         The row as written.
     version : int
         Version of the row.
+    era : int
+        Era of the store in which the row was written.
     members : Membership
         Instances that report whether the store answers them.
     end_term : callable
         Called with a reason when the term must end.
     on_confirmed : callable
         Called whenever the row is confirmed to name this instance.
+    on_reclaimed : callable
+        Called when the term goes on in a later era, with a higher epoch.
 
     Attributes
     ----------
+    era : int
+        Era of the store in which the row was last claimed.
     store_unreachable : bool
         Whether the last call to the store got no answer.
 
@@ -56,6 +71,10 @@
     The term lasts for `confirmed_s` after the start of the last call that confirmed it,
     even if another call is in progress then. While the members report that the store
     answers none of them, no instance can take over, so the term lasts for `offline_s`.
+
+    A store that was restored from a copy may have lost the row or name an earlier
+    holder. If no other instance can have taken over before the restoration, the term is
+    claimed anew and goes on; the first claim in the new era wins.
     """
 
     def __init__(
@@ -64,9 +83,11 @@
         store: Store,
         row: CoordinatorRow,
         version: int,
+        era: int,
         members: Membership,
         end_term: Callable[[str], None],
         on_confirmed: Callable[[], None],
+        on_reclaimed: Callable[[], None],
     ) -> None:
         self._times = times
         self._store = store
@@ -75,11 +96,17 @@
         self._members = members
         self._end_term = end_term
         self._on_confirmed = on_confirmed
+        self._on_reclaimed = on_reclaimed
+        self._reclaimed_row: CoordinatorRow | None = None
+        self._wake_event = Event()
+        self._is_rechecking = False
+        self._lasts_through_outage = False
         self._confirmed_at = monotonic()
         self._last_error = "no answer yet"
         self._expiry_timer = ReschedulableTimeout(get_running_loop(), self._check)
         self._expiry_timer.set(times.confirmed_s)
         self._closed = False
+        self.era = era
         self.store_unreachable = False
 
     @property
@@ -100,7 +127,11 @@
     async def renew(self) -> None:
         """Renew the row until the term ends."""
         while not self._closed:
-            await sleep(self._times.beat_s)
+            if await self._wait_for_beat():
+                # Tells a restoration, or the end of an outage, from a loss of the store
+                # at this instance alone.
+                await self.reread_row(self._last_error, LAST_READ_TIMEOUT_S)
+                continue
             started_at = monotonic()
             row = replace(self._row, beat=self._row.beat + 1)
             try:
@@ -132,36 +163,130 @@
             return False
         return True
 
-    async def reread_row(self, error: str) -> None:
-        """Read the row; end the term if it no longer names this instance."""
+    async def reread_row(self, error: str, limit_s: float | None = None) -> None:
+        """
+        Read the row; end the term if it no longer names this instance.
+
+        Parameters
+        ----------
+        error : str
+            Reason for which the row is read.
+        limit_s : float, optional
+            Seconds after which the store counts as unreachable, if that is shorter
+            than the timeout of a call.
+        """
         self._last_error = error
         started_at = monotonic()
         try:
-            view = await self._store.read(COORDINATOR_TABLE)
-        except StoreUnavailableError as failure:
-            write_event("term_unread", epoch=self.epoch, error=str(failure))
+            async with timeout(limit_s):
+                view = await self._store.read(COORDINATOR_TABLE)
+        except (StoreUnavailableError, TimeoutError) as failure:
+            write_event("term_unread", epoch=self.epoch, error=repr(failure))
             self.store_unreachable = True
-            self._check()
+            self._check(has_just_read=True)
             return
         current = find_term(view)
-        if current is None or current[0].vacant or self._names_other_term(current[0]):
+        if view.era > self.era and not is_era_claimed(view):
+            await self._reclaim(view, started_at)
+            return
+        if current is not None and current[0] == self._reclaimed_row:
+            # The answer to the claim was lost.
+            self._adopt_claim(current[0], current[1], view.era)
+        elif (
+            view.era > self.era
+            or current is None
+            or current[0].vacant
+            or self._names_other_term(current[0])
+        ):
             self._end_term("the row no longer names this instance")
             return
-        self._row, self._version = current
+        else:
+            self._row, self._version = current
+        self._confirm(started_at)
+
+    async def _reclaim(self, view: TableRows, started_at: float) -> None:
+        """Claim the term anew after a restoration of the store."""
+        if not self._excludes_takeover():
+            self._end_term("the store was restored, perhaps after a takeover")
+            return
+        row, version = find_term(view) or (self._row, 0)
+        claimed = replace(
+            self._row, epoch=next_epoch(view.era, self.epoch, row.epoch), beat=0
+        )
+        self._reclaimed_row = claimed
+        try:
+            version = await self._store.write(
+                COORDINATOR_TABLE,
+                make_term_row(claimed, version),
+                make_era_rows(view),
+                list_later_eras(view.era),
+            )
+        except StoreConflictError as error:
+            self._end_term(f"another term was claimed after a restoration: {error}")
+            return
+        except StoreUnavailableError as error:
+            write_event("term_not_reclaimed", epoch=self.epoch, error=str(error))
+            self.store_unreachable = True
+            self._check(has_just_read=True)
+            return
+        self._adopt_claim(claimed, version, view.era)
         self._confirm(started_at)
 
+    def _adopt_claim(self, row: CoordinatorRow, version: int, era: int) -> None:
+        write_event(
+            "term_reclaimed",
+            previous_epoch=self.epoch,
+            epoch=row.epoch,
+            previous_era=self.era,
+            era=era,
+        )
+        self._row, self._version, self.era = row, version, era
+        self._reclaimed_row = None
+        self._on_reclaimed()
+
+    def _excludes_takeover(self) -> bool:
+        """
+        Whether no other term can have been claimed before the store was restored.
+
+        The store may have lost such a claim. It requires a row that is unchanged for
+        `unchanged_s`, or a store that answers another instance.
+        """
+        if monotonic() - self._confirmed_at < self._times.unchanged_s:
+            return True
+        silences = self._members.list_store_silences(excluded=self.holder)
+        return self.store_unreachable and any(silence >= 0.0 for silence in silences)
+
+    async def _wait_for_beat(self) -> bool:
+        """Wait until the next renewal; return whether the row must be read first."""
+        try:
+            async with timeout(self._times.beat_s):
+                await self._wake_event.wait()
+        except TimeoutError:
+            return False
+        self._wake_event.clear()
+        return True
+
     def _names_other_term(self, row: CoordinatorRow) -> bool:
         return (row.epoch, row.holder) != (self.epoch, self.holder)
 
     def _confirm(self, at: float) -> None:
         self._confirmed_at = at
+        self._is_rechecking = self._lasts_through_outage = False
         self.store_unreachable = False
         if not self._closed:
             self._expiry_timer.set(max(0.0, at + self._times.confirmed_s - monotonic()))
         self._on_confirmed()
 
-    def _check(self) -> None:
-        """End the term if another instance reaches the store, or if it expired."""
+    def _check(self, has_just_read: bool = False) -> None:
+        """
+        End the term if another instance reaches the store, or if it expired.
+
+        Parameters
+        ----------
+        has_just_read : bool
+            Whether the store has just failed to answer. Otherwise it is asked once
+            more, since an outage may have ended for all instances.
+        """
         if self._closed:
             return
         now = monotonic()
@@ -169,6 +294,12 @@
         self._members.remove_silent(now)
         silences = self._members.list_store_silences(excluded=self.holder)
         if any(0.0 <= silence < self._times.reached_s for silence in silences):
+            is_valid = self._lasts_through_outage or age_s < self._times.confirmed_s
+            if is_valid and not has_just_read and not self._is_rechecking:
+                self._is_rechecking = True
+                self._wake_event.set()
+                self._expiry_timer.set(1.5 * LAST_READ_TIMEOUT_S)
+                return
             self._end_term(
                 f"the store answers others, but not this instance: {self._last_error}"
             )
@@ -181,9 +312,12 @@
                     f"no renewal confirmed for {age_s:.1f} s: {self._last_error}"
                 )
             else:
+                self._lasts_through_outage = True
                 self._expiry_timer.set(self._times.report_s)
 
     async def _write(self, row: CoordinatorRow) -> None:
         stored = make_term_row(row, self._version)
-        self._version = await self._store.write(COORDINATOR_TABLE, stored)
+        self._version = await self._store.write(
+            COORDINATOR_TABLE, stored, absent=list_later_eras(self.era)
+        )
         self._row = row
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -1,10 +1,11 @@
 """In-memory store, upstreams and header header_codec for tests of the direct path."""
 
 from asyncio import Event, sleep
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.era import join_version, split_version
 from plantaincart_core.traffic import (
     Route,
     RoutingConfiguration,
@@ -36,7 +37,7 @@
     report_s=0.03,
     silent_s=0.12,
     beat_s=0.05,
-    unchanged_s=0.2,
+    unchanged_s=0.25,
     confirmed_s=0.3,
     reached_s=0.08,
     offline_s=3.0,
@@ -107,7 +108,8 @@
 
     def __init__(self):
         self.rows = {}
-        self.version = 0
+        self.counter = 0
+        self.era = 0
         self.refused_clients = set()
         self.answers_to_lose = 0
         self.oldest_version = 0
@@ -116,8 +118,28 @@
     def client(self, name):
         return MemoryClient(self, name)
 
+    @property
+    def version(self):
+        return join_version(self.era, self.counter)
+
+    def copy(self):
+        return self.counter, dict(self.rows)
+
+    def restore(self, copy):
+        """Continue with the contents and the counter of an earlier copy."""
+        self.counter, rows = copy
+        self.era += 1
+        self.rows = {
+            name: replace(
+                row, version=join_version(self.era, split_version(row.version)[1])
+            )
+            for name, row in rows.items()
+        }
+        self.changed.set()
+        self.changed = Event()
+
     def put(self, table, key, value):
-        self.version += 1
+        self.counter += 1
         self.rows[table, key] = StoreRow(key=key, value=value, version=self.version)
         self.changed.set()
         self.changed = Event()
@@ -130,7 +152,7 @@
         )
 
     async def watch(self, table, after, wait_s):
-        if after < self.oldest_version:
+        if after < self.oldest_version or split_version(after)[0] != self.era:
             raise HistoryLostError(table)
         rows = [
             row
@@ -139,14 +161,20 @@
         ]
         return TableRows(rows=rows, version=self.version)
 
-    async def write(self, table, row):
-        stored = self.rows.get((table, row.key))
-        if (stored.version if stored else 0) != row.version:
-            raise StoreConflictError(row.key)
+    async def write(self, table, row, also=(), absent=()):
+        for written in (row, *also):
+            stored = self.rows.get((table, written.key))
+            if (stored.version if stored else 0) != written.version:
+                raise StoreConflictError(written.key)
+        for name in absent:
+            if name in self.rows:
+                raise StoreConflictError(name)
+        for written in also:
+            self.put(table, written.key, written.value)
         return self.put(table, row.key, row.value)
 
     async def delete(self, table, key):
-        self.version += 1
+        self.counter += 1
         self.rows[table, key] = StoreRow(key=key, version=self.version, deleted=True)
 
 
@@ -165,9 +193,9 @@
         self._check()
         return await self._store.watch(table, after, wait_s)
 
-    async def write(self, table, row):
+    async def write(self, table, row, also=(), absent=()):
         self._check()
-        version = await self._store.write(table, row)
+        version = await self._store.write(table, row, also, absent)
         if self._store.answers_to_lose:
             self._store.answers_to_lose -= 1
             raise StoreUnavailableError("answer lost")
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -1,141 +1,23 @@
 """Terms, takeovers and moves with an in-memory store and upstreams."""
 
 from asyncio import create_task, get_running_loop, sleep
-from contextlib import asynccontextmanager
 from dataclasses import replace
-from socket import socket
 from time import monotonic
 
 from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
-from plantaincart_router.direct.follower import Follower
-from plantaincart_router.direct.interface import Platform
-from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.settings import ResourceSettings
 from plantaincart_router.direct.termrow import COORDINATOR_TABLE
-from plantaincart_router.direct.tests.fakes import (
-    FAST,
-    MemoryGrants,
-    MemoryStore,
-    MemoryUpstream,
-    PlainDialect,
-    PlainReader,
-    make_plan,
-    make_record,
-    make_settings,
+from plantaincart_router.direct.tests.fakes import FAST, make_record
+from plantaincart_router.direct.tests.memorysystem import (
+    SAMPLE_KEYS,
+    System,
+    run_system,
+    wait_for,
 )
-from plantaincart_router.direct.view import SystemView
 from plantaincart_schema.codec import decode_json
 from plantaincart_schema.generated.direct import CoordinatorRow
 
-SAMPLE_KEYS = range(0, KEY_COUNT, 997)
-
-
-def find_port():
-    with socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class Instance:
-    """An instance without HTTP servers: a follower with its view."""
-
-    def __init__(self, name, store, upstreams, resources=None):
-        resources = resources or ResourceSettings()
-        self.settings = make_settings(name, find_port(), resources=resources)
-        self.grants = MemoryGrants(upstreams, name)
-        self.view = SystemView(
-            self.settings, PlainReader(), UpstreamPools(self.settings.send)
-        )
-        self.view.routing_config = make_plan()
-        self.view.upstreams_loaded = True
-        self.platform = Platform(
-            store=store.client(name),
-            reader=PlainReader(),
-            grants=self.grants,
-            header_codec=PlainDialect(),
-        )
-        self.follower = Follower(self.settings, self.view, self.platform)
-
-    def announce(self, upstreams):
-        for upstream in upstreams.values():
-            self.view.directory.put(make_record(upstream.name), monotonic())
-
-    @property
-    def is_coordinator(self):
-        return self.follower.coordinator is not None
-
-
-class System:
-    """Several instances with a common store and common upstreams."""
-
-    def __init__(self, upstreams=4):
-        self.store = MemoryStore()
-        self.upstreams = {
-            f"u{number}": MemoryUpstream(f"u{number}") for number in range(upstreams)
-        }
-        self.instances = {}
-
-    def add(self, name, loop, resources=None):
-        instance = Instance(name, self.store, self.upstreams, resources)
-        self.instances[name] = instance
-        instance.announce(self.upstreams)
-        instance.follower.start(loop)
-        return instance
-
-    def find_coordinator(self):
-        return next(
-            (
-                instance
-                for instance in self.instances.values()
-                if instance.is_coordinator
-            ),
-            None,
-        )
-
-    def count_owners(self, key):
-        return sum(upstream.owns(key) for upstream in self.upstreams.values())
-
-    def all_keys_owned(self):
-        return all(self.count_owners(key) == 1 for key in SAMPLE_KEYS)
-
-    def all_maps_agree(self):
-        """Whether the maps of all instances agree with the owners of all keys."""
-        for instance in self.instances.values():
-            for key in SAMPLE_KEYS:
-                key_range = instance.view.find_owner("ledger", key)
-                if key_range is None or not key_range.owner:
-                    return False
-                if not self.upstreams[key_range.owner].owns(key):
-                    return False
-        return True
-
-    def kill(self, name):
-        instance = self.instances.pop(name)
-        instance.grants.disconnected = True
-        instance.follower.close()
-        return instance
-
-
-async def wait_for(check, limit_s=5.0):
-    deadline = monotonic() + limit_s
-    while not check():
-        assert monotonic() < deadline, "condition not met in time"
-        await sleep(0.02)
-
-
-@asynccontextmanager
-async def run_system(loop, names=("r1", "r2", "r3"), upstreams=4):
-    system = System(upstreams)
-    for name in names:
-        system.add(name, loop)
-    try:
-        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree(), 8.0)
-        yield system
-    finally:
-        for instance in system.instances.values():
-            instance.follower.close()
-
 
 async def test_one_coordinator_grants_all_keys():
     async with run_system(get_running_loop()) as system:
--- a/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
+++ b/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
@@ -50,6 +50,7 @@
         calls,
         row,
         version,
+        0,
         notify,
         [],
         previous_renewed_at=monotonic(),
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -210,7 +210,7 @@
     async with run_relay() as (store, coordinator, _):
         store.put(TABLE, "u1", b"1")
         store.oldest_version = store.version + 1
-        store.version += 1
+        store.counter += 1
         await sleep(4 * TIMES.lead_wait_s)
         assert coordinator.sink.rows["u1"] == b"1"
         # Earlier changes are no longer kept, so the member only gets the version.
--- a/packages/router/plantaincart_router/direct/tests/test_term.py
+++ b/packages/router/plantaincart_router/direct/tests/test_term.py
@@ -18,9 +18,9 @@
 
     timeout_s = 0.0
 
-    async def write(self, table, row):
+    async def write(self, table, row, also=(), absent=()):
         await self._time_out_if_silent()
-        return await super().write(table, row)
+        return await super().write(table, row, also, absent)
 
     async def read(self, table):
         await self._time_out_if_silent()
@@ -52,7 +52,15 @@
         self.ended_at = None
         row = CoordinatorRow(holder="r1", address="", epoch=1, beat=0, vacant=False)
         self.term = Term(
-            FAST, self.client, row, 0, self.members, self.end, lambda: None
+            FAST,
+            self.client,
+            row,
+            0,
+            0,
+            self.members,
+            self.end,
+            lambda: None,
+            lambda: None,
         )
         self.task = create_task(self.term.renew())
 
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -33,6 +33,9 @@
 # starts when the store acknowledges the change, which is later than the time up to
 # which the table was known.
 DRAIN_BOUND_SHARE = 0.7
+# Seconds after a restoration of the store within which operators have written closed
+# data centres again. Until then the closures known before stay in force.
+CLOSURE_REWRITE_S = 10.0
 # Seconds for which a lower number of instances is ignored.
 MEMBER_COUNT_MEMORY_S = 5.0
 
@@ -58,6 +61,8 @@
         self._reader = reader
         self._pools = pools
         self._closed_by_row: dict[str, str] = {}
+        self._unconfirmed_closures: dict[str, tuple[str, float]] = {}
+        self._eras: dict[str, int] = {}
         self._draining_since: dict[str, float] = {}
         self._seen_active: set[str] = set()
         self._operator_rows_loaded = False
@@ -78,16 +83,24 @@
         self._changed = Event()
 
     def replace_table(self, table: str, view: TableRows, known_until: float) -> None:
-        """Apply a full read of a table."""
+        """
+        Apply a full read of a table.
+
+        After a restoration of the store, what is known is kept where the rows may be
+        older.
+        """
+        previous_era = self._eras.get(table)
+        is_restored = previous_era is not None and view.era > previous_era
+        self._eras[table] = view.era
+        if is_restored:
+            write_event(
+                "table_restored", table=table, previous=previous_era, era=view.era
+            )
         if table == self._reader.upstream_table:
-            records = [self._reader.read_upstream(row) for row in view.rows]
-            previous = {record.id: record for record in self.directory}
-            now = monotonic()
-            self.directory.replace_all([record for record in records if record], now)
-            self._update_draining(previous, known_until)
-            self.upstreams_loaded = True
-            write_event("upstreams_read", count=len(self.directory))
+            self._replace_upstreams(view, known_until, is_restored)
         else:
+            if is_restored:
+                self._doubt_closures()
             self._closed_by_row.clear()
             self.change_table(table, view, known_until)
         self._wake_waiters()
@@ -119,9 +132,20 @@
         return settings.feed.choose_gather_s(self.members, settings.bounds)
 
     def expire(self) -> None:
-        """Remove upstreams that are still missing after an outage."""
-        for record in self.directory.expire(monotonic()):
+        """Remove upstreams and closures that are still missing after an outage."""
+        now = monotonic()
+        for record in self.directory.expire(now):
             self._handle_upstream_gone(record)
+        expired = [
+            key
+            for key, (_, until) in self._unconfirmed_closures.items()
+            if until <= now
+        ]
+        for key in expired:
+            del self._unconfirmed_closures[key]
+        if expired:
+            self._update_closures()
+            self._wake_waiters()
 
     def apply_notice(self, notice: CoordinatorNotice) -> bool:
         """
@@ -159,9 +183,10 @@
 
     def displace(self, record: UpstreamRecord) -> None:
         """Remove an upstream whose address is used by another process."""
-        if self.directory.get(record.id) == record:
+        present = self.directory.get(record.id)
+        if present is not None and present.born == record.born:
             write_event("upstream_displaced", upstream=record.id, born=record.born)
-            self.directory.displace(record)
+            self.directory.displace(record, monotonic())
             self._handle_upstream_gone(record)
             self._wake_waiters()
 
@@ -209,6 +234,25 @@
         refused_keys, self._refused_keys = self._refused_keys, []
         return refused_keys
 
+    def _replace_upstreams(
+        self, view: TableRows, known_until: float, is_restored: bool
+    ) -> None:
+        records = [self._reader.read_upstream(row) for row in view.rows]
+        valid_records = [record for record in records if record]
+        previous = {record.id: record for record in self.directory}
+        if is_restored:
+            self.directory.replace_restored(valid_records, monotonic())
+        else:
+            self.directory.replace_all(valid_records, monotonic())
+        self._update_draining(previous, known_until)
+        self.upstreams_loaded = True
+        write_event("upstreams_read", count=len(self.directory))
+
+    def _doubt_closures(self) -> None:
+        until = monotonic() + CLOSURE_REWRITE_S
+        for key, data_centre in self._closed_by_row.items():
+            self._unconfirmed_closures.setdefault(key, (data_centre, until))
+
     def _change_upstreams(self, view: TableRows, known_until: float) -> None:
         previous = {record.id: record for record in self.directory}
         now = monotonic()
@@ -263,6 +307,7 @@
 
     def _change_operator_rows(self, view: TableRows, known_until: float) -> None:
         for row in view.rows:
+            self._unconfirmed_closures.pop(row.key, None)
             if row.deleted:
                 self._closed_by_row.pop(row.key, None)
                 continue
@@ -271,14 +316,20 @@
                 self._closed_by_row[row.key] = data_centre
             else:
                 self._adopt_routing_config(self._reader.read_configuration(row))
-        closed = frozenset(self._closed_by_row.values())
+        changed = self._update_closures()
+        if changed or not self._operator_rows_loaded:
+            self._operator_rows_loaded = True
+            self._update_draining({}, known_until)
+
+    def _update_closures(self) -> bool:
+        """Put the known closures in force; return whether they have changed."""
+        unconfirmed = {name for name, _ in self._unconfirmed_closures.values()}
+        closed = frozenset(self._closed_by_row.values()) | unconfirmed
         changed = closed != self.directory.closed_data_centres
         if changed:
             write_event("data_centres_closed", names=sorted(closed))
             self.directory.closed_data_centres = closed
-        if changed or not self._operator_rows_loaded:
-            self._operator_rows_loaded = True
-            self._update_draining({}, known_until)
+        return changed
 
     def _adopt_routing_config(
         self, routing_config: RoutingConfiguration | None
