--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -19,6 +19,7 @@
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.interface import Platform
+from plantaincart_router.direct.messagecheck import check_notice, check_report
 from plantaincart_router.direct.noticecodec import (
     open_notice,
     pack_notice,
@@ -357,6 +358,7 @@
     def _receive_report(self, frames: list[bytes]) -> None:
         try:
             report = decode_msgpack(frames[-1], MemberReport)
+            check_report(report)
         except MalformedMessageError as error:
             write_event("report_unreadable", error=str(error))
             return
@@ -375,6 +377,7 @@
     def _receive_notice(self, frames: list[bytes]) -> None:
         try:
             notice = unpack_notice(frames)
+            check_notice(notice)
         except MalformedMessageError as error:
             write_event("notice_unreadable", error=str(error))
             return
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -0,0 +1,97 @@
+"""Bounds of the values in messages between instances, checked once on receipt."""
+
+from collections.abc import Iterable
+from math import isfinite
+
+from plantaincart_core.ownermap import KEY_COUNT
+from plantaincart_schema.exception import MalformedMessageError
+from plantaincart_schema.generated.direct import (
+    CoordinatorNotice,
+    KeyLoad,
+    MapChange,
+    MemberReport,
+)
+
+__all__ = ["check_notice", "check_report"]
+
+# Generous upper bounds; a value beyond them can't come from an instance that works.
+MAX_COUNT = 10**6
+MAX_WORK_MS = 10**7
+MAX_DURATION_S = 3600.0
+MAX_SLOWNESS = 1e4
+MAX_NAME_LENGTH = 255
+
+
+def check_report(report: MemberReport) -> None:
+    """
+    Check a member's report.
+
+    Parameters
+    ----------
+    report : MemberReport
+        Report as decoded.
+
+    Raises
+    ------
+    MalformedMessageError
+        If a value is out of its range, so that it would distort sums and means over
+        all members.
+    """
+    _check(0 < len(report.member) <= MAX_NAME_LENGTH, "name of the member")
+    _check(report.epoch >= 0, "epoch")
+    _check(isfinite(report.store_silent_s), "store_silent_s")
+    for load in report.loads:
+        _check_load(load)
+    _check_range(report.in_flight.values(), MAX_COUNT, "in_flight")
+    _check_range(report.slowness.values(), MAX_SLOWNESS, "slowness")
+    _check_range([key.key for key in report.refusing], KEY_COUNT - 1, "refused key")
+    _check(all(version >= 0 for version in report.tables.values()), "tables")
+
+
+def check_notice(notice: CoordinatorNotice) -> None:
+    """
+    Check a coordinator's notice with its changes unpacked.
+
+    Parameters
+    ----------
+    notice : CoordinatorNotice
+        Notice as decoded.
+
+    Raises
+    ------
+    MalformedMessageError
+        If a value is out of its range.
+    """
+    _check(notice.epoch >= 0, "epoch")
+    _check(notice.map_version >= 0, "map_version")
+    _check_range([notice.members, notice.rank], MAX_COUNT, "members or rank")
+    durations_s = [notice.hold_s, notice.removals_wait_s]
+    durations_s += [change.age_s for change in notice.tables]
+    durations_s += [change.free_in_s for change in notice.changes]
+    _check_range(durations_s, MAX_DURATION_S, "duration")
+    _check_range(notice.slowness.values(), MAX_SLOWNESS, "slowness")
+    _check(
+        all(change.after >= 0 and change.version >= 0 for change in notice.tables),
+        "table versions",
+    )
+    _check(all(map(_is_key_range, notice.changes)), "key range")
+
+
+def _check_load(load: KeyLoad) -> None:
+    _check(len(load.keys) == len(load.work_ms), "lengths of a key load")
+    _check_range(load.keys, KEY_COUNT - 1, "key")
+    _check_range(load.work_ms, MAX_WORK_MS, "work_ms")
+
+
+def _is_key_range(change: MapChange) -> bool:
+    return 0 <= change.first <= change.last < KEY_COUNT
+
+
+def _check_range(values: Iterable[float], maximum: float, name: str) -> None:
+    # A comparison with NaN is false.
+    _check(all(0 <= value <= maximum for value in values), name)
+
+
+def _check(is_valid: bool, name: str) -> None:
+    if not is_valid:
+        raise MalformedMessageError(f"{name} out of range")
