Spend fewer store calls on starts and takeovers, and spread hot keys by fleet size

At a start, each of 195 instances read all tables, and while the coordinator was missing all read its row several times a second and followed both tables on their own.

A coordinator with a fast link sends whole tables to instances that lack them; weak instances read the row less often; relayed changes are relied on for up to 0.4 of the shortest bound; an outage or a resignation of the coordinator no longer makes all instances call at once. Moves in a plan grow with the owners. An overload that has lasted is expected to last as long again.

--- a/packages/core/plantaincart_core/keybalance.py
+++ b/packages/core/plantaincart_core/keybalance.py
@@ -54,7 +54,8 @@
         return []
     moves: list[KeyMove] = []
     exhausted: set[str] = set()
-    while len(moves) < settings.max_moves:
+    max_moves = settings.limit_moves(len(owners))
+    while len(moves) < max_moves:
         move = _plan_move(plan, request_load, settings, exhausted)
         if move is None:
             break
--- a/packages/core/plantaincart_core/keymove.py
+++ b/packages/core/plantaincart_core/keymove.py
@@ -66,7 +66,10 @@
         Number of standard errors that a difference in load must exceed, so that
         random variation causes no moves.
     max_moves : int
-        Greatest number of moves in a plan.
+        Greatest number of moves in a plan for few owners.
+    max_moves_per_owner : float
+        Greatest number of moves in a plan, per owner; applies if it allows more. A hot
+        range that is as wide in a large fleet must be spread over more owners.
     ranges_per_owner : int
         Mean number of ranges per owner above which small ranges are merged with an
         adjacent one.
@@ -84,7 +87,24 @@
     underload_tolerance: float = 0.6
     significance: float = 2.5
     max_moves: int = 16
+    max_moves_per_owner: float = 0.25
     ranges_per_owner: int = 4
     small_range_share: float = 0.15
     max_merges: int = 2
     hot_key_gain: float = 1.4
+
+    def limit_moves(self, owner_count: int) -> int:
+        """
+        Return the greatest number of moves in a plan.
+
+        Parameters
+        ----------
+        owner_count : int
+            Number of upstreams of the service.
+
+        Examples
+        --------
+        >>> KeyBalanceSettings().limit_moves(24), KeyBalanceSettings().limit_moves(240)
+        (16, 60)
+        """
+        return max(self.max_moves, round(self.max_moves_per_owner * owner_count))
--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -92,8 +92,12 @@
 
     def has_standing_queue(self, now: float, settings: LoadSettings) -> bool:
         """Return whether no slot has been free for `standing_queue_s`."""
-        recent = now - self._seen_full_at <= settings.max_observation_gap_s
-        return recent and now - self._full_since >= settings.standing_queue_s
+        return self.measure_full_s(now, settings) >= settings.standing_queue_s
+
+    def measure_full_s(self, now: float, settings: LoadSettings) -> float:
+        """Return for how many seconds no slot has been free; 0 if one is."""
+        is_recent = now - self._seen_full_at <= settings.max_observation_gap_s
+        return now - self._full_since if is_recent else 0.0
 
 
 class UpstreamLoads:
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -177,6 +177,8 @@
         write_event("term_started", epoch=self.epoch)
         for feed in self._feeds:
             feed.relays_changes = True
+            # Whole tables of a large fleet would fill a slow link for seconds.
+            feed.relays_whole_tables = self._settings.resources.shortage == 0.0
             feed.poll_now()
         self._tasks = [
             create_task(self._run_guarded("renew_term", self._term.renew)),
@@ -486,8 +488,7 @@
             # tables as up to date until then.
             return changes
         for feed in self._feeds:
-            version = member.find_table_version(feed.table)
-            change = None if version is None else feed.describe_since(version)
+            change = feed.describe_since(member.find_table_version(feed.table))
             if change is not None:
                 changes.append(change)
         member.record_tables_sent({change.table: change.version for change in changes})
--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -9,6 +9,7 @@
 
 from plantaincart_schema.generated.direct import ChangedRow, TableChange
 
+from plantaincart_router.direct.noticecodec import pack_rows
 from plantaincart_router.direct.settings import FeedSettings
 from plantaincart_router.direct.store import (
     HistoryLostError,
@@ -95,11 +96,16 @@
         Intervals and timeouts.
     on_change : callable, optional
         Called after changes were passed to the sink.
+    awaits_relay : bool
+        Whether to wait for the whole table from the coordinator for some time after the
+        start.
 
     Attributes
     ----------
     table : str
         Table that is followed.
+    relays_whole_tables : bool
+        Whether this instance also sends the whole table to instances that lack it.
     relays_changes : bool
         Whether this instance relays the changes to the others. It then always calls the
         store itself, and with short waits, so that a connection that has fallen silent
@@ -108,7 +114,8 @@
     Notes
     -----
     While the coordinator relays the changes, other instances don't call the store. An
-    instance that has missed changes reads them from the store itself. If the
+    instance that has missed changes, or has just started, gets the whole table, or
+    reads it from the store itself if the coordinator doesn't send it. If the
     coordinator falls silent, each instance follows the store on its own again.
 
     A call waits for changes for seconds. If there is other evidence that there are
@@ -123,6 +130,7 @@
         sink: TableSink,
         settings: FeedSettings,
         on_change: Callable[[], None] | None = None,
+        awaits_relay: bool = False,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -130,6 +138,9 @@
         self._on_change = on_change
         self._random = Random()
         self._history = TableHistory()
+        self._rows: dict[str, StoreRow] = {}
+        self._packed: tuple[int, bytes] = (-1, b"")
+        self._awaits_relay = awaits_relay
         self._store_unreachable = False
         self._retry_delay_s = FIRST_RETRY_DELAY_S
         self._answered_at = float("-inf")
@@ -142,49 +153,71 @@
         self._poll_at_once = False
         self.table = table
         self.relays_changes = False
+        self.relays_whole_tables = False
 
     @property
     def version(self) -> int | None:
         """Version of the store up to which changes were applied; None before a read."""
         return self._history.version
 
-    def describe_since(self, version: int) -> TableChange | None:
+    def describe_since(self, version: int | None) -> TableChange | None:
         """
         Describe the changes after a version, for another instance.
 
         Parameters
         ----------
-        version : int
-            Version that the other instance has reached.
+        version : int or None
+            Version that the other instance has reached; None if it lacks the table.
 
         Returns
         -------
         TableChange or None
             None while the store is unreachable. If some of the changes are no longer
-            kept, the result contains only the present version.
+            kept, the result contains the whole table, or only the present version.
         """
         current_version = self._history.version
         if self._store_unreachable or current_version is None:
             return None
-        rows = self._history.list_since(version)
-        return TableChange(
+        change = TableChange(
             table=self.table,
             age_s=round(monotonic() - self._answered_at, 3),
-            after=current_version if rows is None else min(version, current_version),
+            after=current_version,
             version=current_version,
-            rows=[_pack_row(row) for row in rows or ()],
         )
+        rows = None if version is None else self._history.list_since(version)
+        if rows is not None and version is not None:
+            return replace(
+                change,
+                after=min(version, current_version),
+                rows=[_pack_row(row) for row in rows],
+            )
+        if not self.relays_whole_tables:
+            return None if version is None else change
+        return replace(
+            change, complete=True, packed_rows=self._pack_table(current_version)
+        )
+
+    def _pack_table(self, version: int) -> bytes:
+        if self._packed[0] != version:
+            rows = [_pack_row(row) for row in self._rows.values()]
+            self._packed = (version, pack_rows(rows))
+        return self._packed[1]
 
     def apply_relayed_change(self, change: TableChange) -> None:
-        """Apply changes that the coordinator relays."""
+        """Apply changes, or the whole table, that the coordinator relays."""
         current_version = self._history.version
-        if current_version is None or self.relays_changes:
+        if self.relays_changes or (current_version is None and not change.complete):
             return
         settings = self._settings
         relay_valid_s = min(
             settings.relay_lasts_s, settings.relay_fresh_s - change.age_s
         )
         self._relay_valid_until = monotonic() + relay_valid_s
+        if change.complete:
+            self._apply_whole_table(change)
+            return
+        if current_version is None:
+            return
         if change.after > current_version:
             write_event(
                 "table_lags",
@@ -204,29 +237,47 @@
         known_until = monotonic() - change.age_s
         self._apply_changes(TableRows(rows=rows, version=change.version), known_until)
 
+    def _apply_whole_table(self, change: TableChange) -> None:
+        current_version = self._history.version
+        if change.age_s < self._settings.relay_fresh_s:
+            self._record_answer()
+        if current_version is not None and change.version <= current_version:
+            return
+        rows = [_unpack_row(row) for row in change.rows]
+        write_event(
+            "table_relayed", table=self.table, version=change.version, rows=len(rows)
+        )
+        self._replace(
+            TableRows(rows=rows, version=change.version), monotonic() - change.age_s
+        )
+        self._wake_event.set()
+        self._renew_call()
+
     def handle_coordinator_outage(self) -> None:
         """
         Handle a notice that the store doesn't answer the coordinator.
 
-        This instance then calls the store itself. If it gets no answer either, it makes
-        no further calls: `StoreProbe` finds out when the store answers again.
+        This instance calls the store itself once the relayed changes are too old. If it
+        gets no answer either, it makes no further calls: `StoreProbe` finds out when
+        the store answers again.
         """
         if self._store_unreachable:
             self._relay_valid_until = monotonic() + self._settings.relay_lasts_s
-        else:
-            self.poll_now()
 
     def poll_now(self) -> None:
         """Call the store at once, even if the coordinator relays the changes."""
         self._relay_valid_until = float("-inf")
+        self._awaits_relay = False
         self._wake_event.set()
         self._renew_call()
 
     async def follow(self) -> None:
         """Follow the table until cancelled."""
+        if self._awaits_relay and self._history.version is None:
+            await self._wait_for_wake(self._settings.first_read_s)
         while True:
             if self._is_relayed:
-                await self._wait_relayed()
+                await self._wait_for_wake(self._relay_valid_until - monotonic())
                 continue
             try:
                 await self._step()
@@ -246,10 +297,10 @@
             and monotonic() < self._relay_valid_until
         )
 
-    async def _wait_relayed(self) -> None:
+    async def _wait_for_wake(self, limit_s: float) -> None:
         self._wake_event.clear()
         try:
-            async with timeout(max(0.0, self._relay_valid_until - monotonic())):
+            async with timeout(max(0.0, limit_s)):
                 await self._wake_event.wait()
         except TimeoutError:
             # The coordinator may have extended the time meanwhile; `follow` checks
@@ -263,10 +314,7 @@
             view = await self._store.read(self.table)
             self._answered_at = monotonic()
             self._record_answer()
-            self._history.restart(view.version)
-            self._sink.replace_table(self.table, view, self._known_until)
-            self._known_until = started_at
-            self._notify_change()
+            self._replace(view, started_at)
             return
         changed = await self._wait_for_changes(current_version)
         if changed is None:
@@ -280,6 +328,13 @@
                 gather_s if self.relays_changes else self._sink.choose_gather_s()
             )
 
+    def _replace(self, view: TableRows, known_until: float) -> None:
+        self._history.restart(view.version)
+        self._rows = {row.key: row for row in view.rows}
+        self._sink.replace_table(self.table, view, self._known_until)
+        self._known_until = known_until
+        self._notify_change()
+
     async def _wait_for_changes(self, current_version: int) -> TableRows | None:
         """Wait for changes; return None if the call was cancelled."""
         wait_s = self._choose_wait_s(current_version)
@@ -327,6 +382,11 @@
         ]
         new_changes = TableRows(rows=rows, version=view.version)
         self._history.add(new_changes)
+        for row in rows:
+            if row.deleted:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
         if rows:
             self._sink.change_table(self.table, new_changes, previously_until)
             self._notify_change()
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -47,8 +47,6 @@
 
 __all__ = ["Follower"]
 
-# Seconds between reads of the coordinator row while the coordinator is suspected.
-ROW_READ_INTERVAL_S = 0.4
 # Seconds between attempts to vacate the coordinator row while the store is unreachable.
 RESIGN_RETRY_S = 0.4
 # Seconds after a notice with an extended grant duration for which a successor assumes
@@ -180,8 +178,7 @@
 
     async def _find_or_replace_coordinator(self) -> None:
         now = monotonic()
-        read_recently = now - self._row_read_at < ROW_READ_INTERVAL_S
-        if read_recently and self._row is not None and not self._coordinator_resigned:
+        if now - self._row_read_at < self._choose_row_read_interval_s():
             return
         await self._read_row()
         row = self._row
@@ -193,6 +190,13 @@
         ):
             await self._claim()
 
+    def _choose_row_read_interval_s(self) -> float:
+        """Read at once without a term, but less often with few resources."""
+        times, shortage = self._times, self._settings.resources.shortage
+        is_missing = self._row is None or self._coordinator_resigned
+        interval_s = 0.0 if is_missing else times.row_read_s
+        return interval_s + shortage * times.weak_row_read_s * self._view.members
+
     async def _read_row(self) -> None:
         view = await self._platform.store.read(COORDINATOR_TABLE)
         now = monotonic()
@@ -386,8 +390,8 @@
         if notice.resigned:
             self._coordinator_resigned = True
             self._resigned_epoch = notice.epoch
-            for feed in self.feeds:
-                feed.poll_now()
+            # A stronger instance claims the term first.
+            self._row_read_at = monotonic()
             return
         self._last_notice_at = monotonic()
         self._handle_store_doubt(notice.doubt)
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -64,13 +64,15 @@
         self._metrics_server = HttpServer(INITIAL_LIMITS, self._answer_metrics)
         self.follower = Follower(settings, self.view, platform)
         reader = platform.reader
+        feed_settings = settings.feed.adapt(settings.bounds)
         self._feeds = [
             TableFeed(
                 platform.store,
                 table,
                 self.view,
-                settings.feed,
+                feed_settings,
                 self.follower.announce,
+                awaits_relay=True,
             )
             for table in (reader.operator_table, reader.upstream_table)
         ]
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -81,10 +81,9 @@
     def find_table_version(self, table: str) -> int | None:
         """Return the version of a table that the member has or was just sent."""
         reported = self.report.tables.get(table)
-        if reported is None:
-            return None
-        if monotonic() - self._tables_sent_at < RESEND_S:
-            return max(reported, self._tables_sent.get(table, reported))
+        sent = self._tables_sent.get(table)
+        if sent is not None and monotonic() - self._tables_sent_at < RESEND_S:
+            return sent if reported is None else max(reported, sent)
         return reported
 
     def record_tables_sent(self, versions: dict[str, int]) -> None:
--- a/packages/router/plantaincart_router/direct/noticecodec.py
+++ b/packages/router/plantaincart_router/direct/noticecodec.py
@@ -5,9 +5,20 @@
 from zlib import compress
 
 from plantaincart_schema.codec import decode_msgpack, decompress, encode_msgpack
-from plantaincart_schema.generated.direct import CoordinatorNotice, MapChange
-
-__all__ = ["open_notice", "pack_changes", "pack_notice", "unpack_notice"]
+from plantaincart_schema.generated.direct import (
+    ChangedRow,
+    CoordinatorNotice,
+    MapChange,
+    TableChange,
+)
+
+__all__ = [
+    "open_notice",
+    "pack_changes",
+    "pack_notice",
+    "pack_rows",
+    "unpack_notice",
+]
 
 # Size in bytes above which a notice is compressed. A whole map of 500 ranges takes 40
 # kB, and is sent to all instances at the start of a term.
@@ -44,9 +55,26 @@
     return compress(encode_msgpack(list(changes)), COMPRESSION_LEVEL)
 
 
+def pack_rows(rows: Sequence[ChangedRow]) -> bytes:
+    """
+    Encode the rows of a whole table once for notices to many instances.
+
+    Parameters
+    ----------
+    rows : sequence of ChangedRow
+        Rows of the table.
+
+    Returns
+    -------
+    bytes
+        Value for the field `packed_rows` of a `TableChange`.
+    """
+    return compress(encode_msgpack(list(rows)), COMPRESSION_LEVEL)
+
+
 def open_notice(notice: CoordinatorNotice) -> CoordinatorNotice:
     """
-    Decode the packed changes of a notice, if it has any.
+    Decode the packed changes and rows of a notice, if it has any.
 
     Parameters
     ----------
@@ -56,18 +84,27 @@
     Returns
     -------
     CoordinatorNotice
-        The same notice with all changes in `changes`.
+        The same notice with all changes in `changes`, and all rows in `rows`.
 
     Raises
     ------
     MalformedMessageError
         If the packed changes can't be decoded.
     """
+    tables = [_open_table(change) for change in notice.tables]
     if notice.packed_changes is None:
-        return notice
+        return replace(notice, tables=tables)
     data = decompress(notice.packed_changes, MAX_BYTES)
     changes = decode_msgpack(data, list[MapChange])
-    return replace(notice, changes=changes, packed_changes=None)
+    return replace(notice, changes=changes, packed_changes=None, tables=tables)
+
+
+def _open_table(change: TableChange) -> TableChange:
+    if change.packed_rows is None:
+        return change
+    data = decompress(change.packed_rows, MAX_BYTES)
+    rows = decode_msgpack(data, list[ChangedRow])
+    return replace(change, rows=rows, packed_rows=None)
 
 
 def pack_notice(notice: CoordinatorNotice) -> list[bytes]:
@@ -85,7 +122,9 @@
         Frames of the message.
     """
     data = encode_msgpack(notice)
-    if len(data) - len(notice.packed_changes or b"") <= MIN_COMPRESSED_BYTES:
+    packed_bytes = len(notice.packed_changes or b"")
+    packed_bytes += sum(len(change.packed_rows or b"") for change in notice.tables)
+    if len(data) - packed_bytes <= MIN_COMPRESSED_BYTES:
         return [data]
     return [COMPRESSION_MARK, compress(data, COMPRESSION_LEVEL)]
 
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -277,15 +277,20 @@
         expected: LatencyEstimate,
         admission: Admission,
     ) -> RefusedError:
-        load = self._view.loads.get(record.id)
+        loads, now = self._view.loads, monotonic()
+        load = loads.get(record.id)
         detail = (
             f"upstream {record.id}: expected wait {expected.wait_s:.2f} s and work "
             f"{expected.work_s:.2f} s exceed {admission.max_latency_s:.2f} s "
             f"(own {load.in_flight}, slowness {load.slowness:.1f})"
         )
-        return self.refuse_unserved(
-            call, Reason.QUEUE_FULL, detail, admission.retry_after_s
-        )
+        retry_after_s = admission.retry_after_s
+        if loads.has_standing_queue(record.id, now):
+            # An overload that has lasted for a while is expected to last as long again.
+            # Callers that return earlier only delay others.
+            full_s = load.measure_full_s(now, loads.settings)
+            retry_after_s = max(retry_after_s, full_s)
+        return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, retry_after_s)
 
     def refuse_unserved(
         self, call: Call, reason: Reason, detail: str, retry_after_s: float
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -1,6 +1,6 @@
 """Settings of an instance on the direct path."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from plantaincart_core.choice import ChoiceSettings
 from plantaincart_core.keymove import KeyBalanceSettings
@@ -121,7 +121,13 @@
         Seconds per live instance by which that time grows, so that all instances
         together make some 55 calls per second at most while there are many changes.
     bound_share : float
-        Maximum of that time, as a fraction of the shortest bound on adopting changes.
+        Maximum of that time, as a fraction of the shortest bound on adopting changes;
+        and `relay_lasts_s` if that is longer.
+    fresh_share : float
+        `relay_fresh_s` as the same fraction, if that is longer.
+    first_read_s : float
+        Seconds after its start for which an instance waits for whole tables from the
+        coordinator before it reads them from the store.
     """
 
     wait_s: float = 8.0
@@ -131,6 +137,34 @@
     gather_s: float = 0.2
     member_gather_s: float = 0.018
     bound_share: float = 0.4
+    fresh_share: float = 0.48
+    first_read_s: float = 1.0
+
+    def adapt(self, bounds: BoundSettings) -> "FeedSettings":
+        """
+        Choose how long relayed changes are relied on, by the bounds on adopting them.
+
+        A takeover then needs no calls of all instances.
+
+        Parameters
+        ----------
+        bounds : BoundSettings
+            Bounds on adopting changes.
+
+        Examples
+        --------
+        >>> adapted = FeedSettings().adapt(BoundSettings(drain_s=3.0, plan_s=3.0))
+        >>> round(adapted.relay_lasts_s, 2), round(adapted.relay_fresh_s, 2)
+        (1.2, 1.44)
+        >>> FeedSettings().adapt(BoundSettings(drain_s=1.5)).relay_fresh_s
+        1.0
+        """
+        shortest_s = min(bounds.drain_s, bounds.evacuate_s, bounds.plan_s)
+        return replace(
+            self,
+            relay_lasts_s=max(self.relay_lasts_s, self.bound_share * shortest_s),
+            relay_fresh_s=max(self.relay_fresh_s, self.fresh_share * shortest_s),
+        )
 
     def choose_gather_s(self, members: int, bounds: BoundSettings) -> float:
         """
@@ -270,6 +304,11 @@
     weak_candidate_s : float
         Additional delay in seconds of the candidates with the fewest resources, so that
         others write first.
+    row_read_s : float
+        Seconds between reads of the coordinator row while the coordinator is missing.
+    weak_row_read_s : float
+        Seconds per live instance by which this time is longer at the instances with the
+        fewest resources. They are many in large fleets, and others claim the term.
     offline_s : float
         The same as `confirmed_s` while no instance reaches the store.
     probes_per_s : float
@@ -304,6 +343,8 @@
     reached_s: float = 0.5
     candidate_s: float = 0.15
     weak_candidate_s: float = 0.5
+    row_read_s: float = 0.4
+    weak_row_read_s: float = 0.01
     offline_s: float = 30.0
     probes_per_s: float = 8.0
     member_s: float = 1.5
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -34,6 +34,7 @@
 from plantaincart_router.http.message import HttpAnswer, HttpRequest, find_header
 
 FAST = CoordinationSettings(
+    row_read_s=0.4,
     report_s=0.03,
     silent_s=0.12,
     beat_s=0.05,
