--- a/packages/core/plantaincart_core/tests/test_keybalance.py
+++ b/packages/core/plantaincart_core/tests/test_keybalance.py
@@ -67,6 +67,24 @@
     assert max(owner_loads.values()) <= 1.6 * mean
 
 
+def test_hot_keys_of_a_large_fleet_are_distributed_in_time():
+    """
+    Pattern hot_key in a large fleet: 60 adjacent keys get 43 % of the load at once.
+
+    The keys stay hot for four seconds. After one second, which is two intervals of
+    rebalancing, no owner may have more to do than it can.
+    """
+    owners = make_owners(240)
+    owner_map = make_map(owners)
+    loads = {key * 270: 0.7 for key in range(240)}
+    loads |= {9000 + key: 2.1 for key in range(60)}
+    for _ in range(2):
+        moves = plan_key_moves(owner_map, loads, owners, 0.1, SETTINGS)
+        apply_moves(owner_map, moves)
+    busiest = max(sum_by_owner(owner_map, loads, owners).values())
+    assert busiest <= 2.1 + 0.7
+
+
 def test_rebalance_of_hot_keys_moves_no_more_than_these():
     owners = make_owners(26)
     owner_map = make_map(owners)
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -46,6 +46,28 @@
             instance.follower.close()
 
 
+async def test_weak_instances_read_the_row_less_often():
+    """
+    A takeover in a large fleet needs few calls to the store.
+
+    Most instances are weak, and don't claim the term while stronger ones live.
+    """
+    system = System()
+    loop = get_running_loop()
+    weak_resources = ResourceSettings(cores=0.43, link_mbps=20.0)
+    weak = system.add("r1", loop, weak_resources).follower
+    strong = system.add("r2", loop).follower
+    try:
+        await wait_for(lambda: system.find_coordinator() is not None)
+        await wait_for(lambda: weak._row is not None and strong._row is not None)
+        weak._view.members = strong._view.members = 195
+        assert strong._choose_row_read_interval_s() == FAST.row_read_s
+        assert weak._choose_row_read_interval_s() >= 3 * FAST.row_read_s
+    finally:
+        for instance in system.instances.values():
+            instance.follower.close()
+
+
 async def test_first_division_is_even():
     """The first assignment must not give all keys to the first announced upstream."""
     async with run_system(get_running_loop(), names=("r1",)) as system:
--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -164,6 +164,40 @@
     assert (response.status, verdict(response)) == (503, "not-run")
 
 
+async def test_first_request_to_an_owner_with_a_long_queue_is_not_lost():
+    """
+    An owner with a long queue accepts fewer connections (hot_key in a large fleet).
+
+    Each of some hundred instances lost a request before it noticed that.
+    """
+
+    class ClosingUpstream(Upstream):
+        async def serve(self, reader, writer):
+            writer.transport.abort()
+
+    plan = make_plan(idempotent=False, timeout_s=2.0)
+    async with run_gateway(ClosingUpstream(), plan=plan) as (gateway, view):
+        view.loads.get("u0").set_peer_in_flight(4, monotonic())
+        response = await call_gateway(gateway, remaining_s=2.0)
+    assert (response.status, verdict(response)) == (503, "not-run")
+
+
+async def test_callers_return_later_to_an_owner_with_a_standing_queue():
+    """A key stays hot for seconds (hot_key); returns would only delay other callers."""
+    plan = make_plan(idempotent=False, timeout_s=2.0)
+    async with run_gateway(Upstream(), plan=plan) as (gateway, view):
+        load = view.loads.get("u0")
+        load.set_peer_in_flight(12, monotonic())
+        response = await call_gateway(gateway, remaining_s=2.0)
+        assert response.status == 503
+        assert retry_after(response) < 0.7
+        for ago_s in (1.5, 0.8, 0.1):
+            load.record_occupancy(True, monotonic() - ago_s, 0.8)
+        response = await call_gateway(gateway, request_id="r2", remaining_s=2.0)
+    assert (response.status, verdict(response)) == (503, "not-run")
+    assert retry_after(response) >= 1.4
+
+
 async def test_new_connections_are_checked_after_one_has_stayed_open():
     """An owner closes new connections for seconds (hot_key in a large fleet)."""
 
