--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -191,6 +191,7 @@
         response = await call_gateway(gateway, remaining_s=2.0)
         assert response.status == 503
         assert retry_after(response) < 0.7
+        load.record_occupancy(False, monotonic(), 0.8)
         for ago_s in (1.5, 0.8, 0.1):
             load.record_occupancy(True, monotonic() - ago_s, 0.8)
         response = await call_gateway(gateway, request_id="r2", remaining_s=2.0)
