--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV = .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup up demo test lint bench soak generate check-generated
+.PHONY: setup up demo test lint bench soak regression generate check-generated
 
 $(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -39,3 +39,6 @@
 
 soak: setup
 	PYTHONPATH=platform $(BIN)/python -m plantaincart_soak $(ARGS)
+
+regression:
+	tools/regression.sh $(ARGS)
