--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -1,6 +1,6 @@
 """Handling of a caller's request: route, attempts at upstreams, answer."""
 
-from asyncio import Task, current_task, sleep
+from asyncio import Task, current_task, sleep, timeout
 from random import Random
 from time import monotonic
 
@@ -34,6 +34,9 @@
 # it answered that it doesn't own the key.
 UNREACHABLE_WAIT_S = 0.2
 MISDIRECTED_WAIT_S = 0.3
+# Seconds after the start for which requests wait for the first configuration, which
+# arrives within some tenths of a second unless the store has an outage.
+FIRST_CONFIGURATION_WAIT_S = 1.0
 
 
 class Gateway:
@@ -67,6 +70,7 @@
         self._view = view
         self._header_codec = header_codec
         self._random = Random()
+        self._started_at = monotonic()
         self._budgets: dict[str, WindowRetryBudget] = {}
         cold_limiter = ColdUpstreamLimiter(settings.bounds)
         self._selector = UpstreamSelector(
@@ -103,6 +107,7 @@
         self.in_flight += 1
         call: Call | None = None
         try:
+            await self._wait_for_configuration(metadata, started_at)
             call = self._start_call(request, metadata, caller, started_at)
             answer = await self._run(call)
             self._log_request_end(metadata, call, answer.status, "answered", "")
@@ -116,6 +121,19 @@
         finally:
             self.in_flight -= 1
 
+    async def _wait_for_configuration(
+        self, metadata: RequestMetadata, started_at: float
+    ) -> None:
+        wait_until = self._started_at + FIRST_CONFIGURATION_WAIT_S
+        if metadata.remaining_s is not None:
+            wait_until = min(wait_until, started_at + metadata.remaining_s)
+        while self._view.routing_config is None and monotonic() < wait_until:
+            try:
+                async with timeout(wait_until - monotonic()):
+                    await self._view.wait_for_change()
+            except TimeoutError:
+                return
+
     def _start_call(
         self,
         request: HttpRequest,
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -202,6 +202,29 @@
     assert (response.status, verdict(response)) == (503, "not-run")
 
 
+async def test_first_requests_wait_for_the_configuration():
+    """All processes were killed, and callers return at once (pattern kill_all)."""
+    async with run_gateway(Upstream()) as (gateway, view):
+        configuration, view.routing_config = view.routing_config, None
+        task = create_task(call_gateway(gateway))
+        await sleep(0.2)
+        assert not task.done()
+        view.routing_config = configuration
+        view._wake_waiters()
+        assert (await task).status == 200
+
+
+async def test_requests_are_refused_at_once_if_no_configuration_comes():
+    """An instance that starts in an outage of the store (pattern platform_down)."""
+    async with run_gateway(Upstream()) as (gateway, view):
+        view.routing_config = None
+        gateway._started_at -= 1.0
+        started_at = monotonic()
+        response = await call_gateway(gateway)
+    assert (response.status, verdict(response)) == (503, "not-run")
+    assert monotonic() - started_at < 0.1
+
+
 async def test_no_route_is_404():
     async with run_gateway(Upstream()) as (gateway, _):
         assert (await call_gateway(gateway, host="other.example")).status == 404
