Keep notices of a new coordinator, whatever the age of its tables

Found by reading. The range check of messages dropped a whole notice, with the map in it, if the store's last answer was over an hour old, or unknown: a coordinator that had only had its tables relayed states an infinite age until its first own call. Members would have taken it as silent after a takeover.

--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -63,6 +63,10 @@
         weak._view.members = strong._view.members = 195
         assert strong._choose_row_read_interval_s() == FAST.row_read_s
         assert weak._choose_row_read_interval_s() >= 3 * FAST.row_read_s
+        # After a resignation the next term is claimed at once, so all learn it soon.
+        weak._coordinator_resigned = strong._coordinator_resigned = True
+        assert strong._choose_row_read_interval_s() == 0.0
+        assert weak._choose_row_read_interval_s() <= FAST.weak_candidate_s
     finally:
         for instance in system.instances.values():
             instance.follower.close()
--- a/packages/router/plantaincart_router/direct/tests/test_malformed_message.py
+++ b/packages/router/plantaincart_router/direct/tests/test_malformed_message.py
@@ -6,13 +6,16 @@
 """
 
 from asyncio import get_running_loop, run, sleep
-from math import isfinite
+from contextlib import nullcontext
+from math import isfinite, nan
 from typing import get_type_hints
 
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
+from plantaincart_router.direct.messagecheck import check_notice
 from plantaincart_router.direct.tests.memorysystem import run_system
 from plantaincart_schema.codec import encode_msgpack
+from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
     KeyLoad,
@@ -21,6 +24,7 @@
     RefusedKey,
     TableChange,
 )
+from pytest import mark, raises
 
 INTEGERS = st.one_of(
     st.integers(-2, 70000), st.sampled_from([-(2**63), 2**63 - 1, 2**40])
@@ -124,3 +128,19 @@
 @given(make_frames(NOTICES))
 def test_odd_notices_leave_a_member_running(frames):
     run(check_notices(frames))
+
+
+@mark.parametrize(("age_s", "is_valid"), [(0.2, True), (1e6, True), (nan, False)])
+def test_old_answer_of_the_store_makes_no_notice_malformed(age_s, is_valid):
+    """The map in the same notice must arrive, however old a table is."""
+    change = TableChange(table="upstreams", after=1, version=1, age_s=age_s)
+    notice = CoordinatorNotice(
+        coordinator="r1",
+        epoch=1,
+        members=1,
+        map_version=1,
+        complete=False,
+        tables=[change],
+    )
+    with nullcontext() if is_valid else raises(MalformedMessageError):
+        check_notice(notice)
