Hold requests back on all new connections alike, and bring pages in line

The estimate of the owner's queue chose between 3 and 10 ms; the check of every new connection makes it needless.

--- a/packages/core/plantaincart_core/era.py
+++ b/packages/core/plantaincart_core/era.py
@@ -106,7 +106,8 @@
         Whether a term was claimed since the store was last restored. Otherwise the row
         is older than the copy, so that a later term may be active.
     unchanged_s : float
-        Seconds for which the row hasn't changed, since the restoration at most.
+        Seconds for which the row hasn't changed, counted from the last restoration of
+        the store at the earliest.
     required_s : float
         Seconds without a renewal after which a term has ended.
 
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -17,8 +17,8 @@
 IDLE_TIMEOUT_SHARE = 0.7
 MAX_IDLE_CONNECTIONS = 4
 # Seconds within which an upstream with too many connections closes a new one: several
-# round trips. If an upstream has done so recently, or has a long queue, requests are
-# held back for this time on a new connection.
+# round trips. If an upstream has done so recently, requests are held back for this time
+# on a new connection.
 CLOSED_AT_ONCE_S = 0.01
 # Seconds for which a request is held back on any new connection: a reset of an upstream
 # with too many connections follows its acceptance at once.
@@ -77,9 +77,7 @@
             connection.close()
         return None
 
-    async def open(
-        self, record: UpstreamRecord, timeout_s: float, has_long_queue: bool = False
-    ) -> HttpConnection:
+    async def open(self, record: UpstreamRecord, timeout_s: float) -> HttpConnection:
         """
         Open a connection.
 
@@ -89,9 +87,6 @@
             Upstream to connect to.
         timeout_s : float
             Remaining time in seconds; `connect_timeout_s` limits it further.
-        has_long_queue : bool
-            Whether many requests wait at the upstream, which then accepts fewer
-            connections.
 
         Returns
         -------
@@ -104,9 +99,7 @@
             If the connection isn't open in time, or was closed at once.
         """
         limit_s = min(timeout_s, self._settings.connect_timeout_s)
-        may_be_closed = has_long_queue or self.connect_failures.may_close_at_once(
-            record, monotonic()
-        )
+        may_be_closed = self.connect_failures.may_close_at_once(record, monotonic())
         self.connect_failures.begin_attempt(record, monotonic())
         try:
             connection = await HttpConnection.open(
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -19,10 +19,6 @@
 
 __all__ = ["UpstreamSender"]
 
-# Requests at an upstream, as a multiple of its concurrency slots, from which it may
-# accept fewer connections than usual.
-LONG_QUEUE_FACTOR = 2
-
 
 class UpstreamSender:
     """
@@ -100,8 +96,7 @@
         # this one waits for it.
         self._cold_limiter.record(record.id, sent_at)
         try:
-            has_long_queue = in_progress >= LONG_QUEUE_FACTOR * record.slots
-            answer = await self._exchange(call, record, has_long_queue)
+            answer = await self._exchange(call, record)
         except LostError as error:
             if error.timed_out:
                 waited_s = monotonic() - sent_at
@@ -154,9 +149,7 @@
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
 
-    async def _exchange(
-        self, call: Call, record: UpstreamRecord, has_long_queue: bool
-    ) -> HttpAnswer:
+    async def _exchange(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
         settings = self._settings.send
         max_silence_s = settings.keep_s if call.route.idempotent else settings.fresh_s
         connection = self._pools.acquire_idle(record, max_silence_s)
@@ -164,9 +157,7 @@
         sent_at = monotonic()
         try:
             if connection is None:
-                connection = await self._pools.open(
-                    record, call.remaining_s, has_long_queue
-                )
+                connection = await self._pools.open(record, call.remaining_s)
             sent_at = monotonic()
             remaining_s = call.remaining_s
             request = self._header_codec.write_request(
