Use the readers of the relay's tests for whole tables, and fix an example of a lost term

The state machine gets a fixed example in which a takeover is lost with all processes; a trial without the era in epochs fails in it.

--- a/packages/core/plantaincart_core/tests/test_era_machine.py
+++ b/packages/core/plantaincart_core/tests/test_era_machine.py
@@ -368,3 +368,21 @@
     max_examples=100, stateful_step_count=50, deadline=None
 )
 TestEraMachine = EraMachine.TestCase
+
+
+def test_tokens_rise_after_a_takeover_that_the_store_has_lost():
+    """All processes end with it, so nobody knows the epoch of the lost term."""
+    machine = EraMachine()
+    machine.start()
+    machine.take_over("p1", restarted=True)
+    machine.move_key("p1", KEYS[0], UPSTREAMS[1])
+    machine.restore_store(0)
+    machine.restart_process("p1")
+    machine.take_over("p0", restarted=True)
+    for _ in range(CONFIRMED + HOLD + MARGIN):
+        machine.pass_time(1)
+        machine.renew_term("p0", answered=True)
+    machine.renew_grants()
+    assert machine.granted[-1][1] == UPSTREAMS[0]
+    machine.tokens_rise()
+    machine.no_key_has_two_owners()
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -32,6 +32,7 @@
 )
 from plantaincart_router.exception import AnswerLostError, ConnectFailedError
 from plantaincart_router.http.message import HttpAnswer, HttpRequest, find_header
+from plantaincart_schema.generated.direct import CoordinatorNotice
 
 FAST = CoordinationSettings(
     row_read_s=0.1,
@@ -104,6 +105,11 @@
     )
 
 
+def make_notice(**fields):
+    fields = {"epoch": 1, "map_version": 1, "complete": False, **fields}
+    return CoordinatorNotice(coordinator="r1", members=1, **fields)
+
+
 class MemoryStore(Store):
     """A store shared by all clients; refuses those in `refused_clients`."""
 
--- a/packages/router/plantaincart_router/direct/tests/test_malformed_message.py
+++ b/packages/router/plantaincart_router/direct/tests/test_malformed_message.py
@@ -13,6 +13,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 from plantaincart_router.direct.messagecheck import check_notice
+from plantaincart_router.direct.tests.fakes import make_notice
 from plantaincart_router.direct.tests.memorysystem import run_system
 from plantaincart_schema.codec import encode_msgpack
 from plantaincart_schema.exception import MalformedMessageError
@@ -134,13 +135,5 @@
 def test_old_answer_of_the_store_makes_no_notice_malformed(age_s, is_valid):
     """The map in the same notice must arrive, however old a table is."""
     change = TableChange(table="upstreams", after=1, version=1, age_s=age_s)
-    notice = CoordinatorNotice(
-        coordinator="r1",
-        epoch=1,
-        members=1,
-        map_version=1,
-        complete=False,
-        tables=[change],
-    )
     with nullcontext() if is_valid else raises(MalformedMessageError):
-        check_notice(notice)
+        check_notice(make_notice(tables=[change]))
--- a/packages/router/plantaincart_router/direct/tests/test_relay.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay.py
@@ -6,6 +6,7 @@
 from time import monotonic
 
 from plantaincart_router.direct.feed import SILENT_CALL_S, TableFeed, TableSink
+from plantaincart_router.direct.noticecodec import pack_notice, unpack_notice
 from plantaincart_router.direct.settings import FeedSettings
 from plantaincart_router.direct.store import (
     StoreRow,
@@ -13,7 +14,11 @@
     TableRows,
 )
 from plantaincart_router.direct.tablehistory import TableHistory
-from plantaincart_router.direct.tests.fakes import MemoryClient, MemoryStore
+from plantaincart_router.direct.tests.fakes import (
+    MemoryClient,
+    MemoryStore,
+    make_notice,
+)
 from plantaincart_router.direct.tests.test_coordinator import System, wait_for
 
 TIMES = FeedSettings(
@@ -23,6 +28,7 @@
     relay_fresh_s=0.2,
     gather_s=0.02,
     member_gather_s=0.0,
+    first_read_s=0.2,
 )
 TABLE = "upstreams"
 # Maximum time in seconds from a change at the coordinator to its effect at a member,
@@ -38,8 +44,13 @@
     def __init__(self, store, name):
         super().__init__(store, name)
         self.calls = 0
+        self.reads = 0
         self.wait_s = 0.0
 
+    async def read(self, table):
+        self.reads += 1
+        return await super().read(table)
+
     async def watch(self, table, after, wait_s):
         self.calls += 1
         self.wait_s = wait_s
@@ -85,18 +96,21 @@
 class FeedReader:
     """A feed of one instance with its client and sink."""
 
-    def __init__(self, store, name, is_coordinator=False):
+    def __init__(self, store, name, is_coordinator=False, awaits_relay=False):
         self.client = CountingStore(store, name)
         self.sink = RecordingSink()
-        self.feed = TableFeed(self.client, TABLE, self.sink, TIMES)
+        self.feed = TableFeed(
+            self.client, TABLE, self.sink, TIMES, awaits_relay=awaits_relay
+        )
         self.feed.relays_changes = is_coordinator
         self.task = create_task(self.feed.follow())
 
-    def relay_to(self, other):
-        """Relay the changes that the other reader lacks, as a notice would."""
-        change = self.feed.describe_since(other.feed.version)
+    def relay_to(self, other, may_send_table=False):
+        """Relay what the other reader lacks, encoded as in a notice."""
+        change = self.feed.describe_since(other.feed.version, may_send_table)
         if change is not None:
-            other.feed.apply_relayed_change(change)
+            notice = unpack_notice(pack_notice(make_notice(tables=[change])))
+            other.feed.apply_relayed_change(notice.tables[0])
         return change
 
 
@@ -115,10 +129,10 @@
         member.task.cancel()
 
 
-async def relay_for(coordinator, member, seconds):
+async def relay_for(coordinator, member, seconds, may_send_table=False):
     """Relay changes for some seconds at the interval of notices."""
     for _ in range(round(seconds / 0.02)):
-        coordinator.relay_to(member)
+        coordinator.relay_to(member, may_send_table)
         await sleep(0.02)
 
 
