Log confirmed moves with their tokens, and conflicts over a row of owners

After two upstreams had held the same keys, the logs couldn't tell who had granted them: keys_moving names no tokens, and a conflict over a row of owners wrote no line. Now keys_granted has token and earlier owner, ownership_row_conflict the epoch and sequence that were found. No decision changes.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -308,6 +308,14 @@
         for row in view.rows:
             if row.key == service:
                 ownership = _read_ownership(row)
+                write_event(
+                    "ownership_row_conflict",
+                    service=service,
+                    epoch=self.epoch,
+                    sequence=self._sequence,
+                    found_epoch=ownership.epoch if ownership else None,
+                    found_sequence=ownership.sequence if ownership else None,
+                )
                 if ownership is not None and ownership.epoch > self.epoch:
                     self.end("a later epoch wrote the ownership row")
                     raise StoreUnavailableError(
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -361,6 +361,15 @@
         self._expected_free_at.pop(key_range, None)
         self._previous_owners.pop((key_range.first, key_range.last), None)
         if granted and record is not None:
+            write_event(
+                "keys_granted",
+                service=self._service,
+                first=key_range.first,
+                last=key_range.last,
+                upstream=key_range.owner,
+                fence=key_range.fence,
+                previous=sorted({source.owner for source in sources}) or None,
+            )
             self._granter.keep_renewing(self._service, record, key_range)
             self._writer.publish(self._service, key_range)
         else:
