--- a/packages/router/plantaincart_router/direct/tests/memorysystem.py
+++ b/packages/router/plantaincart_router/direct/tests/memorysystem.py
@@ -1,6 +1,6 @@
 """Several instances with an in-memory store and upstreams, without HTTP servers."""
 
-from asyncio import sleep
+from asyncio import create_task, sleep
 from contextlib import asynccontextmanager
 from socket import socket
 from time import monotonic
@@ -152,3 +152,30 @@
     finally:
         for instance in system.instances.values():
             instance.follower.close()
+
+
+class OwnerWatch:
+    """Samples the owners of some keys while a system runs."""
+
+    def __init__(self, system):
+        self._system = system
+        self.two_owners = []
+        self.two_coordinators = 0
+        self._task = create_task(self._watch())
+
+    async def _watch(self):
+        while True:
+            self.two_owners += [
+                key for key in SAMPLE_KEYS if self._system.count_owners(key) > 1
+            ]
+            await sleep(0.005)
+
+    def stop(self):
+        self._task.cancel()
+        assert self.two_owners == []
+        for instance in self._system.instances.values():
+            assert instance.grants.outdated_tokens == 0
+
+
+def find_other_owner(system, key):
+    return next(name for name, item in system.upstreams.items() if not item.owns(key))
--- a/packages/router/plantaincart_router/direct/tests/test_restored_store.py
+++ b/packages/router/plantaincart_router/direct/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 earlier ones, and upstreams, configurations and closures that go back.
 """
 
-from asyncio import create_task, get_running_loop, sleep
+from asyncio import get_running_loop, sleep
 from dataclasses import replace
 from time import monotonic
 
@@ -23,7 +23,8 @@
     make_settings,
 )
 from plantaincart_router.direct.tests.memorysystem import (
-    SAMPLE_KEYS,
+    OwnerWatch,
+    find_other_owner,
     run_system,
     wait_for,
 )
@@ -35,29 +36,6 @@
 OUTAGE_S = 0.5
 
 
-class OwnerWatch:
-    """Samples the owners of some keys while a system runs."""
-
-    def __init__(self, system):
-        self._system = system
-        self.two_owners = []
-        self.two_coordinators = 0
-        self._task = create_task(self._watch())
-
-    async def _watch(self):
-        while True:
-            self.two_owners += [
-                key for key in SAMPLE_KEYS if self._system.count_owners(key) > 1
-            ]
-            await sleep(0.005)
-
-    def stop(self):
-        self._task.cancel()
-        assert self.two_owners == []
-        for instance in self._system.instances.values():
-            assert instance.grants.outdated_tokens == 0
-
-
 async def move_keys(system, first, last, target):
     """Let the coordinator move keys, and wait until they have moved."""
     coordinator = system.find_coordinator().follower.coordinator
@@ -69,10 +47,6 @@
     await wait_for(lambda: system.upstreams[target].owns(first))
 
 
-def find_other_owner(system, key):
-    return next(name for name, item in system.upstreams.items() if not item.owns(key))
-
-
 def lose_processes_with_rows(system, names, copy):
     """Kill processes, restore the store, and start the processes again."""
     for name in names:
