Read the owners again if they changed during a takeover

Cause: a new coordinator reads the rows of owners, then writes them under its epoch so that its predecessor's writes fail. The predecessor's term may last 0.8 s longer. What it wrote between the two met the successor's write as a conflict, which was resolved by taking over the version but not the content: the move was overwritten, and the earlier owner granted the keys that the new one held. The same for a row that the predecessor created after the successor had read the table: the keys were divided anew. Why it works: only a write whose condition names the version that was read ends a takeover, so what was adopted is the last that the predecessor could write. Outside a takeover a conflict over a row that this term hasn't written leads to its adoption.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -160,6 +160,10 @@
         self._slowness_cached_at = float("-inf")
         self._resumed = False
         self._unwritten: set[str] = set()
+        # Services whose row was read and then written, or was first written, in this
+        # term; and rows of others that were found since.
+        self._adopted: set[str] = set()
+        self._unadopted_rows: dict[str, OwnershipRow] = {}
         self._tasks: list[Task[None]] = []
         self._flush_timer: TimerHandle | None = None
         self._decayed_at = monotonic()
@@ -302,28 +306,38 @@
             OWNERSHIP_TABLE, stored, absent=list_later_eras(self._term.era)
         )
         self._unwritten.discard(service)
+        self._adopted.add(service)
 
     async def _resolve_conflict(self, service: str) -> None:
+        """Find the version that the row of a service has now."""
         view = await self._store.read(OWNERSHIP_TABLE)
-        for row in view.rows:
-            if row.key == service:
-                ownership = _read_ownership(row)
-                write_event(
-                    "ownership_row_conflict",
-                    service=service,
-                    epoch=self.epoch,
-                    sequence=self._sequence,
-                    found_epoch=ownership.epoch if ownership else None,
-                    found_sequence=ownership.sequence if ownership else None,
-                )
-                if ownership is not None and ownership.epoch > self.epoch:
-                    self.end("a later epoch wrote the ownership row")
-                    raise StoreUnavailableError(
-                        "term ended", may_have_taken_effect=False
-                    )
-                self._row_versions[service] = row.version
-                return
-        self._row_versions[service] = 0
+        row = next((row for row in view.rows if row.key == service), None)
+        self._row_versions[service] = 0 if row is None else row.version
+        ownership = None if row is None else self._decode_row(row)
+        if ownership is None:
+            return
+        write_event(
+            "ownership_row_conflict",
+            service=service,
+            epoch=self.epoch,
+            sequence=self._sequence,
+            found_epoch=ownership.epoch,
+            found_sequence=ownership.sequence,
+        )
+        if service not in self._adopted and ownership.epoch != self.epoch:
+            # The previous coordinator granted keys after this one had read the rows.
+            self._unadopted_rows[service] = ownership
+            raise StoreUnavailableError(
+                "row of an earlier term found", may_have_taken_effect=False
+            )
+
+    def _decode_row(self, row: StoreRow) -> OwnershipRow | None:
+        """Decode an ownership row; end the term if a later term wrote it."""
+        ownership = _read_ownership(row)
+        if ownership is not None and ownership.epoch > self.epoch:
+            self.end("a later epoch wrote the ownership row")
+            raise StoreUnavailableError("term ended", may_have_taken_effect=False)
+        return ownership
 
     async def _run_placement(self) -> None:
         while not self.ended:
@@ -336,26 +350,54 @@
             await sleep(PLACEMENT_INTERVAL_S)
 
     async def _resume(self) -> None:
-        view = await self._store.read(OWNERSHIP_TABLE)
-        rows = []
-        for row in view.rows:
-            self._row_versions[row.key] = row.version
-            ownership = _read_ownership(row)
-            if ownership is not None:
-                rows.append(ownership)
-        await self._wait_for_unknown_grants(rows)
-        for ownership in rows:
-            placement = self._add_placement(ownership.service)
-            placement.resume(ownership)
-            self._extend_grant_expiries(ownership)
-            # The new version makes later writes of the previous coordinator fail.
-            await self.write(ownership.service, placement.describe_row)
+        rows = await self._adopt_rows()
         for ownership in rows:
             self._placements[ownership.service].regrant_resumed()
         self._resumed = True
         self._map_history.invalidate_versions()
         write_event("placements_resumed", services=len(rows))
 
+    async def _adopt_rows(self) -> list[OwnershipRow]:
+        """Adopt the stored owners, in the state in which this term has written them."""
+        while True:
+            view = await self._store.read(OWNERSHIP_TABLE)
+            self._row_versions = {row.key: row.version for row in view.rows}
+            decoded = [self._decode_row(row) for row in view.rows]
+            rows = [ownership for ownership in decoded if ownership is not None]
+            await self._wait_for_unknown_grants(rows)
+            try:
+                for ownership in rows:
+                    await self._adopt_row(ownership)
+            except StoreConflictError as error:
+                # The previous coordinator has moved keys since the rows were read.
+                write_event("ownership_rows_reread", epoch=self.epoch, error=str(error))
+                continue
+            return rows
+
+    async def _adopt_found_rows(self) -> None:
+        """Adopt rows of the previous coordinator that were found after the takeover."""
+        for service in list(self._unadopted_rows):
+            try:
+                await self._adopt_row(self._unadopted_rows[service])
+            except StoreConflictError:
+                await self._resolve_conflict(service)
+                continue
+            del self._unadopted_rows[service]
+            self._placements[service].regrant_resumed()
+
+    async def _adopt_row(self, ownership: OwnershipRow) -> None:
+        """
+        Adopt the owners of one service, and write them under this epoch.
+
+        The new version makes later writes of the previous coordinator fail.
+        """
+        placement = self._add_placement(ownership.service)
+        placement.resume(ownership)
+        self._extend_grant_expiries(ownership)
+        async with self._write_lock:
+            row = placement.describe_row(self.epoch, self._sequence)
+            await self._write_row(ownership.service, row)
+
     async def _wait_for_unknown_grants(self, rows: Sequence[OwnershipRow]) -> None:
         """Wait until grants that a restored store has lost have expired."""
         era = self._term.era
@@ -400,6 +442,7 @@
         self._members.remove_silent(now)
         self._decay(now)
         self._view.expire()
+        await self._adopt_found_rows()
         for service in sorted(self._unwritten):
             await self.write(service, self._placements[service].describe_row)
         routing_config = self._view.routing_config
--- a/packages/router/plantaincart_router/direct/tests/test_takeover.py
+++ b/packages/router/plantaincart_router/direct/tests/test_takeover.py
@@ -6,19 +6,26 @@
 """
 
 from asyncio import get_running_loop, sleep
+from time import monotonic
 
 from plantaincart_core.keymove import KeyMove
+from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
-from plantaincart_router.direct.ownershiprow import decode_ownership
+from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
+from plantaincart_router.direct.tests.fakes import Grant
 from plantaincart_router.direct.tests.memorysystem import (
     OwnerWatch,
+    System,
     find_other_owner,
     run_system,
     wait_for,
 )
+from plantaincart_schema.generated.direct import OwnershipRange, OwnershipRow
 
 # Longer than the grant duration and the term of the fast settings together.
 OBSERVED_S = 1.0
+# Time after the takeover for which the grants of the test's earlier coordinator last.
+EARLIER_GRANT_S = 0.4
 
 
 def delay_first_read(client, table, action):
@@ -61,3 +68,29 @@
         row = decode_ownership(system.store.rows[OWNERSHIP_TABLE, "ledger"].value)
         owner = next(r.owner for r in row.ranges if r.first <= 50 <= r.last)
         assert system.upstreams[owner].owns(50)
+
+
+async def test_successor_adopts_a_row_created_while_it_read_the_owners(monkeypatch):
+    """Guards against a successor that divides keys which were granted already."""
+    monkeypatch.setattr("plantaincart_router.direct.planner.SETTLE_S", 0.1)
+    system = System()
+    watch = OwnerWatch(system)
+    last = KEY_COUNT - 1
+    granted = OwnershipRange(first=0, last=last, owner="u0", born=1, fence=1)
+    row = OwnershipRow(service="ledger", epoch=0, sequence=1, ranges=[granted])
+
+    async def create_row():
+        system.store.put(OWNERSHIP_TABLE, "ledger", encode_ownership(row))
+        expires_at = monotonic() + EARLIER_GRANT_S
+        upstream = system.upstreams["u0"]
+        upstream.grants = [Grant(first=0, last=last, fence=1, expires_at=expires_at)]
+        upstream.highest_fences[0, last] = 1
+
+    instance = system.add("r1", get_running_loop())
+    delay_first_read(instance.platform.store, OWNERSHIP_TABLE, create_row)
+    try:
+        await sleep(OBSERVED_S)
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree(), 8.0)
+        watch.stop()
+    finally:
+        instance.follower.close()
