Log suspensions of the machine

A suspended machine's steady clock stands still, so no line shows that other instances may have acted meanwhile. The difference between boot time and steady clock tells it.

--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -5,6 +5,7 @@
 
 from plantaincart_schema.generated.settings import EntrySettings
 
+from plantaincart_router.direct.clock import SuspensionMonitor
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.follower import Follower
 from plantaincart_router.direct.gateway import Gateway
@@ -171,8 +172,10 @@
 
     async def _run_maintenance(self) -> None:
         applied = None
+        suspension_monitor = SuspensionMonitor()
         while True:
             await sleep(MAINTENANCE_INTERVAL_S)
+            suspension_monitor.measure_suspension()
             self.view.expire()
             routing_config = self.view.routing_config
             if (
