Measure the coordinator's term by a clock that counts suspensions

Cause: the term lasts 2 s from its last confirmation by the steady clock, which stands still while a machine is suspended. After it the coordinator went on granting until its next renewal met its successor's row, and in an outage for as long as reports from before the suspension said that nobody reaches the store.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -134,7 +134,12 @@
         self._store = store
         self._notify = notify
         self._feeds = feeds
-        self._granter = Granter(calls, self._times, settings.bounds.max_hold_s)
+        self._granter = Granter(
+            calls,
+            self._times,
+            settings.bounds.max_hold_s,
+            lambda: self._term.is_valid,
+        )
         self._normal_grant_duration_s = self._granter.grant_duration_s
         self._placements: dict[str, ServicePlacement] = {}
         self._row_versions: dict[str, int] = {}
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -42,6 +42,8 @@
         Grant duration, renewal interval and timeouts.
     max_hold_s : float
         Longest grant duration in seconds that upstreams accept.
+    is_term_valid : callable, optional
+        Returns whether no other instance can have become the coordinator.
 
     Attributes
     ----------
@@ -57,7 +59,11 @@
     """
 
     def __init__(
-        self, calls: GrantCalls, settings: CoordinationSettings, max_hold_s: float
+        self,
+        calls: GrantCalls,
+        settings: CoordinationSettings,
+        max_hold_s: float,
+        is_term_valid: Callable[[], bool] = lambda: True,
     ) -> None:
         self._calls = calls
         self._settings = settings
@@ -72,8 +78,14 @@
         self.unrenewed: list[KeyRange] = []
         self.displaced_upstreams: list[UpstreamRecord] = []
         self.grant_duration_s = min(settings.hold_s, max_hold_s)
+        self._is_term_valid = is_term_valid
         self.enabled = True
 
+    @property
+    def may_call(self) -> bool:
+        """Whether calls to upstreams may be made now."""
+        return self.enabled and self._is_term_valid()
+
     def grant_expiry(self, upstream: str, born: int) -> float:
         """Return the time by which all grants to a process have expired."""
         return self._grant_expiries.get((upstream, born), 0.0)
@@ -156,7 +168,7 @@
         try:
             # Calls to one process are serialised, so that they share one connection.
             async with self._locks.setdefault(process, Lock()):
-                if not self.enabled or (is_current is not None and not is_current()):
+                if not self.may_call or (is_current is not None and not is_current()):
                     return False
                 previous_expiry = self.grant_expiry(*process)
                 self.extend_grant_expiry(
@@ -206,8 +218,9 @@
         delay_s = FIRST_RETRY_DELAY_S
         while self.enabled:
             try:
-                async with timeout(self._limit_release_time(record)):
-                    return await self._calls.release(record, key_range)
+                if self.may_call:
+                    async with timeout(self._limit_release_time(record)):
+                        return await self._calls.release(record, key_range)
             except (ExchangeError, TimeoutError) as error:
                 write_event(
                     "release_failed",
@@ -235,7 +248,7 @@
         """Renew grants that are due until cancelled."""
         while True:
             now = monotonic()
-            if self.enabled:
+            if self.may_call:
                 for name, due_at in list(self._renewal_due_at.items()):
                     if due_at <= now and name not in self._tasks:
                         self._start_renewal(name, now)
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -40,12 +40,15 @@
         Time of the last report.
     notices : int
         Number of notices that answered its reports.
+    has_current_silence : bool
+        Whether `report.store_silent_s` is known to be current.
     """
 
     def __init__(self, report: MemberReport, now: float) -> None:
         self.report = report
         self.last_report_at = now
         self.notices = 0
+        self.has_current_silence = True
         self._map_sent = -1
         self._map_sent_at = float("-inf")
         self._whole_map_at = float("-inf")
@@ -158,6 +161,7 @@
             self._in_flight.subtract(member.report.in_flight)
         self._in_flight.update(report.in_flight)
         member.report, member.last_report_at = report, now
+        member.has_current_silence = True
         member.notices += 1
         return member
 
@@ -173,9 +177,14 @@
         return [
             member.report.store_silent_s
             for name, member in self._members.items()
-            if name != excluded
+            if name != excluded and member.has_current_silence
         ]
 
+    def discard_store_silences(self) -> None:
+        """Ignore what was reported about the store until the next reports."""
+        for member in self._members.values():
+            member.has_current_silence = False
+
     def pack_loads(self, now: float) -> bytes:
         """
         Encode the number of requests in progress at each upstream, over all members.
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -8,6 +8,7 @@
 from plantaincart_core.era import next_epoch
 from plantaincart_schema.generated.direct import CoordinatorRow
 
+from plantaincart_router.direct.clock import SuspensionMonitor, read_boot_time
 from plantaincart_router.direct.membership import Membership
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.direct.store import (
@@ -32,6 +33,8 @@
 # Seconds for which the store may take to answer a read before the term is given up
 # because it answers other instances.
 LAST_READ_TIMEOUT_S = 0.3
+# Intervals between reports within which the members report again after a suspension.
+REPORTS_AFTER_SUSPENSION = 3
 
 
 class Term:
@@ -72,6 +75,9 @@
     even if another call is in progress then. While the members report that the store
     answers none of them, no instance can take over, so the term lasts for `offline_s`.
 
+    Times are boot times, since others may take over while the machine is suspended.
+    After a suspension the members must report again before an outage prolongs the term.
+
     A store that was restored from a copy may have lost the row or name an earlier
     holder. If no other instance can have taken over before the restoration, the term is
     claimed anew and goes on; the first claim in the new era wins.
@@ -101,7 +107,9 @@
         self._wake_event = Event()
         self._is_rechecking = False
         self._lasts_through_outage = False
-        self._confirmed_at = monotonic()
+        self._suspension_monitor = SuspensionMonitor()
+        self._confirmed_at = self._verified_at = read_boot_time()
+        self._resumed_at = float("-inf")
         self._last_error = "no answer yet"
         self._expiry_timer = ReschedulableTimeout(get_running_loop(), self._check)
         self._expiry_timer.set(times.confirmed_s)
@@ -119,6 +127,12 @@
         """Name of this instance."""
         return self._row.holder
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether no other instance can have taken over."""
+        age_s = read_boot_time() - self._verified_at
+        return not self._closed and age_s < self._times.confirmed_s
+
     def close(self) -> None:
         """Stop the expiry timer and the renewals."""
         self._closed = True
@@ -132,7 +146,7 @@
                 # at this instance alone.
                 await self.reread_row(self._last_error, LAST_READ_TIMEOUT_S)
                 continue
-            started_at = monotonic()
+            started_at = read_boot_time()
             row = replace(self._row, beat=self._row.beat + 1)
             try:
                 await self._write(row)
@@ -176,7 +190,7 @@
             than the timeout of a call.
         """
         self._last_error = error
-        started_at = monotonic()
+        started_at = read_boot_time()
         try:
             async with timeout(limit_s):
                 view = await self._store.read(COORDINATOR_TABLE)
@@ -251,7 +265,7 @@
         The store may have lost such a claim. It requires a row that is unchanged for
         `unchanged_s`, or a store that answers another instance.
         """
-        if monotonic() - self._confirmed_at < self._times.unchanged_s:
+        if read_boot_time() - self._confirmed_at < self._times.unchanged_s:
             return True
         silences = self._members.list_store_silences(excluded=self.holder)
         return self.store_unreachable and any(silence >= 0.0 for silence in silences)
@@ -270,11 +284,12 @@
         return (row.epoch, row.holder) != (self.epoch, self.holder)
 
     def _confirm(self, at: float) -> None:
-        self._confirmed_at = at
+        self._confirmed_at = self._verified_at = at
         self._is_rechecking = self._lasts_through_outage = False
         self.store_unreachable = False
         if not self._closed:
-            self._expiry_timer.set(max(0.0, at + self._times.confirmed_s - monotonic()))
+            remaining_s = at + self._times.confirmed_s - read_boot_time()
+            self._expiry_timer.set(max(0.0, remaining_s))
         self._on_confirmed()
 
     def _check(self, has_just_read: bool = False) -> None:
@@ -289,9 +304,12 @@
         """
         if self._closed:
             return
-        now = monotonic()
+        now = read_boot_time()
         age_s = now - self._confirmed_at
-        self._members.remove_silent(now)
+        if self._suspension_monitor.measure_suspension() > 0.0:
+            self._members.discard_store_silences()
+            self._resumed_at = now
+        self._members.remove_silent(monotonic())
         silences = self._members.list_store_silences(excluded=self.holder)
         if any(0.0 <= silence < self._times.reached_s for silence in silences):
             is_valid = self._lasts_through_outage or age_s < self._times.confirmed_s
@@ -307,12 +325,19 @@
             # A negative time means that the member hasn't tried the store yet.
             measured = [silence for silence in silences if silence >= 0.0]
             is_outage = bool(measured) and min(measured) >= self._times.reached_s
+            report_until = (
+                self._resumed_at + REPORTS_AFTER_SUSPENSION * self._times.report_s
+            )
+            if not measured and now < report_until:
+                self._expiry_timer.set(self._times.report_s)
+                return
             if not is_outage or age_s > self._times.offline_s:
                 self._end_term(
                     f"no renewal confirmed for {age_s:.1f} s: {self._last_error}"
                 )
             else:
                 self._lasts_through_outage = True
+                self._verified_at = now
                 self._expiry_timer.set(self._times.report_s)
 
     async def _write(self, row: CoordinatorRow) -> None:
