Show that a stopping coordinator grants for too long without an outage

When the call that vacates the term gets no answer, the coordinator takes the store for lost to all and grants keys for 10 s. The call may have taken effect, or only this instance may be cut off: a successor then counts on grants of 3 s. Two tests fail, listed as known red.

--- a/packages/router/plantaincart_router/direct/tests/test_takeover.py
+++ b/packages/router/plantaincart_router/direct/tests/test_takeover.py
@@ -5,14 +5,14 @@
 coordinator, whose term may end some time after its row was claimed.
 """
 
-from asyncio import get_running_loop, sleep
+from asyncio import create_task, get_running_loop, sleep
 from time import monotonic
 
 from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
 from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
-from plantaincart_router.direct.tests.fakes import Grant
+from plantaincart_router.direct.tests.fakes import FAST, Grant
 from plantaincart_router.direct.tests.memorysystem import (
     OwnerWatch,
     System,
@@ -94,3 +94,53 @@
         watch.stop()
     finally:
         instance.follower.close()
+
+
+async def test_no_long_grants_after_a_resignation_whose_answer_is_lost():
+    """Guards against grants that outlast what the successor expects."""
+    async with run_system(get_running_loop()) as system:
+        resigned = system.find_coordinator()
+        coordinator = resigned.follower.coordinator
+        system.store.answers_to_lose = 1
+        assert await coordinator.resign()
+        key_range = next(iter(coordinator._placements["ledger"].owners))
+        record = resigned.view.directory.get(key_range.owner)
+        await coordinator._granter.grant(record, key_range, renewal=True)
+        latest = max(
+            grant.expires_at
+            for upstream in system.upstreams.values()
+            for grant in upstream.grants
+        )
+        assert latest - monotonic() <= FAST.hold_s
+        await wait_for(lambda: system.find_coordinator() not in (None, resigned))
+
+
+async def test_no_long_grants_while_the_store_answers_others():
+    """Guards against grants that outlast what the successor expects."""
+    async with run_system(get_running_loop()) as system:
+        resigned = system.find_coordinator()
+        coordinator = resigned.follower.coordinator
+        system.store.refused_clients = {resigned.settings.name}
+        assert not await coordinator.resign()
+        key_range = next(iter(coordinator._placements["ledger"].owners))
+        record = resigned.view.directory.get(key_range.owner)
+        await coordinator._granter.grant(record, key_range, renewal=True)
+        upstream = system.upstreams[key_range.owner]
+        latest = max(grant.expires_at for grant in upstream.grants)
+        assert latest - monotonic() <= FAST.hold_s
+
+
+async def test_long_grants_in_an_outage_at_the_resignation():
+    async with run_system(get_running_loop()) as system:
+        follower = system.find_coordinator().follower
+        coordinator = follower.coordinator
+        system.store.refused_clients = set(system.instances)
+        withdrawal = create_task(follower.withdraw())
+        key_range = next(iter(coordinator._placements["ledger"].owners))
+        await wait_for(
+            lambda: any(
+                grant.expires_at - monotonic() > FAST.hold_s
+                for grant in system.upstreams[key_range.owner].grants
+            )
+        )
+        withdrawal.cancel()
