Stop the earlier coordinator's renewals in the test of a takeover

In the test of a resignation the instance that resigned could claim the role again; it now leaves, as in a planned stop.

--- a/packages/router/plantaincart_router/direct/tests/test_takeover.py
+++ b/packages/router/plantaincart_router/direct/tests/test_takeover.py
@@ -60,9 +60,11 @@
             await wait_for(lambda: system.upstreams[target].owns(50))
 
         delay_first_read(successor.platform.store, OWNERSHIP_TABLE, move_keys)
-        while not successor.is_coordinator:
-            await successor.follower._read_row()
-            await successor.follower._claim()
+        # Its next renewal would tell the earlier coordinator of the claim too early.
+        earlier.follower.coordinator._tasks[0].cancel()
+        await successor.follower._read_row()
+        await successor.follower._claim()
+        assert successor.is_coordinator
         await sleep(OBSERVED_S)
         watch.stop()
         row = decode_ownership(system.store.rows[OWNERSHIP_TABLE, "ledger"].value)
@@ -101,6 +103,7 @@
     async with run_system(get_running_loop()) as system:
         resigned = system.find_coordinator()
         coordinator = resigned.follower.coordinator
+        resigned.follower._leaving = True
         system.store.answers_to_lose = 1
         assert await coordinator.resign()
         key_range = next(iter(coordinator._placements["ledger"].owners))
