Grant for longer at a planned stop only while the store is lost for all

Cause: a coordinator that stops grants keys for 10 s if the call that vacates its term gets no answer. The call may have taken effect, or only this instance may be cut off; a successor then claims the term at once and counts on grants of 3 s. Why it works: the row is read again first, which ends the term if it was vacated, and grants last longer only if the members have said that the store answers none of them.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -220,17 +220,19 @@
         Returns
         -------
         bool
-            False if the store is unreachable. The term continues in that case, since no
-            other instance could claim the row.
+            False if the term continues since the store is unreachable.
         """
         try:
             vacated = await self._term.vacate()
         except StoreUnavailableError as error:
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
-            # No other instance can take over during the outage, so grants must stay
-            # valid for as long as possible after this instance has stopped.
-            self._granter.grant_duration_s = self._settings.bounds.max_hold_s
-            return False
+            # The write may have taken effect although its answer was lost.
+            await self._term.reread_row(str(error))
+            if self._term.is_store_lost_for_all:
+                # No other instance can take over during the outage, so grants must stay
+                # valid for as long as possible after this instance has stopped.
+                self._granter.grant_duration_s = self._settings.bounds.max_hold_s
+            return self.ended
         if vacated:
             self.end("planned")
         return self.ended
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -133,6 +133,12 @@
         age_s = read_boot_time() - self._verified_at
         return not self._closed and age_s < self._times.confirmed_s
 
+    @property
+    def is_store_lost_for_all(self) -> bool:
+        """Whether the store answers neither this instance nor those that tried it."""
+        silences = self._members.list_store_silences(excluded=self.holder)
+        return self.store_unreachable and self._is_outage(silences)
+
     def close(self) -> None:
         """Stop the expiry timer and the renewals."""
         self._closed = True
@@ -322,13 +328,11 @@
                 f"the store answers others, but not this instance: {self._last_error}"
             )
         elif age_s >= self._times.confirmed_s:
-            # A negative time means that the member hasn't tried the store yet.
-            measured = [silence for silence in silences if silence >= 0.0]
-            is_outage = bool(measured) and min(measured) >= self._times.reached_s
+            is_outage = self._is_outage(silences)
             report_until = (
                 self._resumed_at + REPORTS_AFTER_SUSPENSION * self._times.report_s
             )
-            if not measured and now < report_until:
+            if not is_outage and now < report_until:
                 self._expiry_timer.set(self._times.report_s)
                 return
             if not is_outage or age_s > self._times.offline_s:
@@ -340,6 +344,12 @@
                 self._verified_at = now
                 self._expiry_timer.set(self._times.report_s)
 
+    def _is_outage(self, silences: list[float]) -> bool:
+        """Whether members have tried the store, and none of them reaches it."""
+        # A negative time means that the member hasn't tried the store yet.
+        measured = [silence for silence in silences if silence >= 0.0]
+        return bool(measured) and min(measured) >= self._times.reached_s
+
     async def _write(self, row: CoordinatorRow) -> None:
         stored = make_term_row(row, self._version)
         self._version = await self._store.write(
