--- a/packages/router/plantaincart_router/direct/tests/test_restored_store.py
+++ b/packages/router/plantaincart_router/direct/tests/test_restored_store.py
@@ -10,13 +10,21 @@
 from dataclasses import replace
 from time import monotonic
 
-from plantaincart_core.era import is_epoch_of_era
+from plantaincart_core.era import is_epoch_of_era, next_epoch
 from plantaincart_core.keymove import KeyMove
+from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
-from plantaincart_router.direct.ownershiprow import decode_ownership
+from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.store import StoreRow, TableRows
+from plantaincart_router.direct.termrow import (
+    COORDINATOR_KEY,
+    COORDINATOR_TABLE,
+    make_era_rows,
+)
 from plantaincart_router.direct.tests.fakes import (
+    FAST,
+    Grant,
     PlainReader,
     make_plan,
     make_record,
@@ -24,11 +32,14 @@
 )
 from plantaincart_router.direct.tests.memorysystem import (
     OwnerWatch,
+    System,
     find_other_owner,
     run_system,
     wait_for,
 )
 from plantaincart_router.direct.view import CLOSURE_REWRITE_S, SystemView
+from plantaincart_schema.codec import encode_json
+from plantaincart_schema.generated.direct import CoordinatorRow, OwnershipRow
 from pytest import mark
 
 # Longer than the grant duration and the term of the fast settings together.
@@ -157,6 +168,39 @@
         watch.stop()
 
 
+async def test_row_of_one_service_is_lost_with_its_coordinator(monkeypatch):
+    """Guards against new owners of a service that has no row in a restored store."""
+    monkeypatch.setattr("plantaincart_router.direct.planner.SETTLE_S", 0.1)
+    system = System()
+    watch = OwnerWatch(system)
+    store, last = system.store, KEY_COUNT - 1
+    store.era = 1
+    epoch = next_epoch(1, 0, 0)
+    term = CoordinatorRow(
+        holder="lost", address="127.0.0.1:1", epoch=epoch, beat=1, vacant=False
+    )
+    store.put(COORDINATOR_TABLE, COORDINATOR_KEY, encode_json(term))
+    store.put(COORDINATOR_TABLE, make_era_rows(await store.read("none"))[0].key, b"1")
+    row = OwnershipRow(service="desk", epoch=epoch, sequence=1, ranges=[])
+    store.put(OWNERSHIP_TABLE, "desk", encode_ownership(row))
+    instance = system.add("r1", get_running_loop())
+    plan = make_plan()
+    desk = replace(plan.services["ledger"], name="desk")
+    instance.view.routing_config = replace(
+        plan, services={**plan.services, "desk": desk}
+    )
+    granted_s = FAST.confirmed_s + FAST.hold_s
+    system.upstreams["u0"].grants = [
+        Grant(first=0, last=last, fence=1, expires_at=monotonic() + granted_s)
+    ]
+    try:
+        await sleep(OBSERVED_S)
+        await wait_for(system.all_keys_owned, 8.0)
+        watch.stop()
+    finally:
+        instance.follower.close()
+
+
 class RowReader(PlainReader):
     """Reads upstreams and closures that a test has listed by key."""
 
