Take owners for complete only if each keyed service has a row of this era

Cause: after a restoration of the store a new coordinator waits for grants that it can't know of, unless all rows of owners were written since. Rows that are missing weren't asked for, and an unreadable row counted as none: the keys of that service were divided at once. Why it works: the configuration names the keyed services. Without it, or with a row missing or unreadable, nothing is granted until the predecessor's grants have ended.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -110,8 +110,9 @@
 
     A store that was restored may have lost the latest ownership rows. A coordinator
     whose term goes on writes them again before its next move. One that has just been
-    elected doesn't know to whom its predecessor granted keys, so it grants none until
-    all those grants have expired.
+    elected doesn't know to whom its predecessor granted keys of a service without a row
+    of the present era, so it grants none until all those grants have expired. It does
+    the same if a row can't be decoded.
     """
 
     def __init__(
@@ -371,7 +372,7 @@
             self._row_versions = {row.key: row.version for row in view.rows}
             decoded = [self._decode_row(row) for row in view.rows]
             rows = [ownership for ownership in decoded if ownership is not None]
-            await self._wait_for_unknown_grants(rows)
+            await self._wait_for_unknown_grants(rows, None not in decoded)
             try:
                 for ownership in rows:
                     await self._adopt_row(ownership)
@@ -405,18 +406,29 @@
             row = placement.describe_row(self.epoch, self._sequence)
             await self._write_row(ownership.service, row)
 
-    async def _wait_for_unknown_grants(self, rows: Sequence[OwnershipRow]) -> None:
-        """Wait until grants that a restored store has lost have expired."""
+    async def _wait_for_unknown_grants(
+        self, rows: Sequence[OwnershipRow], all_readable: bool
+    ) -> None:
+        """Wait until grants that the rows don't show have expired."""
         era = self._term.era
-        is_complete = bool(rows) and all(
-            is_epoch_of_era(row.epoch, era) for row in rows
-        )
         wait_s = self._last_grant_expiry() - monotonic()
-        if era == 0 or is_complete or wait_s <= 0.0:
+        is_complete = all_readable and (era == 0 or self._covers_all_services(rows))
+        if is_complete or wait_s <= 0.0:
             return
         write_event("unknown_grants_awaited", era=era, wait_s=round(wait_s, 2))
         await sleep(wait_s)
 
+    def _covers_all_services(self, rows: Sequence[OwnershipRow]) -> bool:
+        """Whether each keyed service has a row that was written in the present era."""
+        routing_config = self._view.routing_config
+        if routing_config is None:
+            return False
+        keyed = {name for name, item in routing_config.services.items() if item.keyed}
+        written = {
+            row.service for row in rows if is_epoch_of_era(row.epoch, self._term.era)
+        }
+        return keyed <= written
+
     def _last_grant_expiry(self) -> float:
         """Return the time by which all grants of the previous term have expired."""
         times = self._times
