Stop sending to upstreams whose answers say that they leave

Callers' requests went to an upstream for as long as its announcement named it, although all its answers said that it was about to end: in an outage of the store, or where the announcement stays or returns, until it had ended. Nothing read the header.

Each instance now keeps, for each upstream process, the time of the first answer that said so, apart from the announcements. Members report what they learn, and the coordinator reads its answers to grants and releases, so that keys move before the bound is over.

The header stays in the answer to the caller, like all header fields of an upstream that don't concern the connection.

--- a/packages/core/plantaincart_core/directory.py
+++ b/packages/core/plantaincart_core/directory.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 
+from plantaincart_core.leaving import LeavingUpstreams
+
 __all__ = ["UpstreamDirectory", "UpstreamRecord"]
 
 # By the platform's protocol, announcements that expired during an outage of the store
@@ -62,6 +64,14 @@
     """
     Upstreams by identity, with removals deferred after an outage of the store.
 
+    Attributes
+    ----------
+    closed_data_centres : frozenset of str
+        Data centres that are out of service.
+    leaving : LeavingUpstreams
+        Upstreams that have said in their answers that they leave; these are kept when
+        announcements are removed or return.
+
     Notes
     -----
     An announcement can expire merely because its renewal couldn't be stored. So an
@@ -99,6 +109,7 @@
         self._store_unavailable = False
         self._removals_valid_at = 0.0
         self.closed_data_centres: frozenset[str] = frozenset()
+        self.leaving = LeavingUpstreams()
 
     def __iter__(self) -> Iterator[UpstreamRecord]:
         return iter(self._records.values())
@@ -280,6 +291,11 @@
 
     def accepts_requests(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream may be sent new requests."""
+        leaving_since = self.leaving.find_since(record.id, record.born)
+        return leaving_since is None and self.is_in_service(record)
+
+    def is_in_service(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream is announced as ready in an open data centre."""
         return record.ready and record.data_centre not in self.closed_data_centres
 
     def is_suspected(self, upstream: str) -> bool:
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -234,6 +234,8 @@
             self.end("a member reports a later epoch")
             return
         member = self._members.record_report(report, monotonic())
+        for upstream, born in report.leaving_upstreams.items():
+            self._view.record_leaving(upstream, born)
         self._process_loads(report)
         loads = None
         if self._members.needs_loads(member):
@@ -403,6 +405,8 @@
         )
         for record in displaced_upstreams:
             self._view.displace(record)
+        for record in self._granter.pop_leaving():
+            self._view.record_leaving(record.id, record.born)
         unrenewed, self._granter.unrenewed = self._granter.unrenewed, []
         for policy in routing_config.services.values():
             if not policy.keyed:
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -339,6 +339,7 @@
                 for feed in self.feeds
                 if feed.version is not None
             },
+            leaving_upstreams=view.list_leaving(),
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -74,6 +74,10 @@
         self.grant_duration_s = min(settings.hold_s, max_hold_s)
         self.enabled = True
 
+    def pop_leaving(self) -> list[UpstreamRecord]:
+        """Return the upstreams whose answers since the last call said they leave."""
+        return self._calls.pop_leaving()
+
     def grant_expiry(self, upstream: str, born: int) -> float:
         """Return the time by which all grants to a process have expired."""
         return self._grant_expiries.get((upstream, born), 0.0)
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -71,6 +71,8 @@
         Number of requests at the upstream, running and waiting, if it is stated.
     idle_timeout_s : float or None
         Seconds for which the upstream keeps an idle connection, if it is stated.
+    leaving : bool
+        Whether the upstream states that it leaves.
     """
 
     not_run: bool
@@ -78,6 +80,7 @@
     answered_by: str
     request_count: int | None
     idle_timeout_s: float | None
+    leaving: bool = False
 
 
 class HeaderCodec(ABC):
@@ -183,6 +186,10 @@
             Handover data for the next owner; empty for none.
         """
 
+    def pop_leaving(self) -> list[UpstreamRecord]:
+        """Return the upstreams whose answers since the last call said they leave."""
+        return []
+
 
 class PlatformReader(ABC):
     """
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -20,6 +20,8 @@
 MAX_DURATION_S = 3600.0
 MAX_SLOWNESS = 1e4
 MAX_NAME_LENGTH = 255
+# Some 8,900 years after 1970.
+MAX_BORN_MS = 2**48
 
 
 def check_report(report: MemberReport) -> None:
@@ -46,6 +48,7 @@
     _check_range(report.slowness.values(), MAX_SLOWNESS, "slowness")
     _check_range([key.key for key in report.refusing], KEY_COUNT - 1, "refused key")
     _check(all(version >= 0 for version in report.tables.values()), "tables")
+    _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
 
 
 def check_notice(notice: CoordinatorNotice) -> None:
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -106,6 +106,7 @@
         finally:
             load.in_flight -= 1
         metadata = self._header_codec.read_answer(answer)
+        self._record_leaving(record, metadata)
         now = monotonic()
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
@@ -166,8 +167,15 @@
             call.attempts += 1
             call.sent = True
             answer = await connection.exchange(
-                request, remaining_s, None, self._make_answer_check(call)
+                request,
+                remaining_s,
+                lambda: self._check_drain_bound(record),
+                self._make_answer_check(call, record),
             )
+        except NotRunError:
+            if connection is not None:
+                connection.close()
+            raise
         except AnswerTimeoutError as error:
             raise LostError(str(error), timed_out=True) from error
         except ExchangeError as error:
@@ -187,10 +195,23 @@
         self._pools.return_connection(record, connection, idle_timeout_s)
         return answer
 
-    def _make_answer_check(self, call: Call) -> Callable[[HttpAnswer], bool]:
+    def _check_drain_bound(self, record: UpstreamRecord) -> None:
+        if not self._view.is_within_drain_bound(record):
+            raise NotRunError(f"upstream {record.id} has left", False, False)
+
+    def _record_leaving(self, record: UpstreamRecord, metadata: AnswerMetadata) -> None:
+        if metadata.leaving and metadata.answered_by in ("", record.id):
+            self._view.record_leaving(record.id, record.born)
+
+    def _make_answer_check(
+        self, call: Call, record: UpstreamRecord
+    ) -> Callable[[HttpAnswer], bool]:
         def belongs(answer: HttpAnswer) -> bool:
-            return self._header_codec.belongs_to_request(
+            is_expected = self._header_codec.belongs_to_request(
                 answer, call.metadata.request_id
             )
+            if not is_expected:
+                self._record_leaving(record, self._header_codec.read_answer(answer))
+            return is_expected
 
         return belongs
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -38,6 +38,9 @@
 CLOSURE_REWRITE_S = 10.0
 # Seconds for which a lower number of instances is ignored.
 MEMBER_COUNT_MEMORY_S = 5.0
+# Seconds for which the coordinator is told of an upstream that leaves. It covers a
+# change of the coordinator.
+LEAVING_REPORT_S = 10.0
 
 
 class SystemView(TableSink):
@@ -192,13 +195,40 @@
 
     def can_serve_keys(self, record: UpstreamRecord) -> bool:
         """Whether an owner may still get requests for its keys."""
-        if self.directory.accepts_requests(record):
+        if not self.is_within_drain_bound(record):
+            return False
+        if self.directory.is_in_service(record):
             return True
         bounds = self._settings.bounds
         bound_s = bounds.evacuate_s if record.ready else bounds.drain_s
         since = self._draining_since.get(record.id, float("-inf"))
         return monotonic() - since < bound_s * DRAIN_BOUND_SHARE
 
+    def is_within_drain_bound(self, record: UpstreamRecord) -> bool:
+        """Whether an upstream may get requests by what its answers have said."""
+        since = self.directory.leaving.find_since(record.id, record.born)
+        bound_s = self._settings.bounds.drain_s * DRAIN_BOUND_SHARE
+        return since is None or monotonic() - since < bound_s
+
+    def record_leaving(self, upstream: str, born: int) -> None:
+        """
+        Record that an upstream said in an answer that it leaves.
+
+        Parameters
+        ----------
+        upstream : str
+            Identity of the upstream.
+        born : int
+            Start of its process in Unix milliseconds.
+        """
+        if self.directory.leaving.record(upstream, born, monotonic()):
+            write_event("upstream_leaving", upstream=upstream, born=born)
+            self._wake_waiters()
+
+    def list_leaving(self) -> dict[str, int]:
+        """Return the process starts of upstreams that lately began to leave, by id."""
+        return self.directory.leaving.list_recent(monotonic(), LEAVING_REPORT_S)
+
     async def wait_for_change(self) -> None:
         """Wait until the map or the upstreams change."""
         await self._changed.wait()
@@ -270,7 +300,7 @@
     ) -> None:
         """Record upstreams that started draining, at the earliest at `known_until`."""
         for record in self.directory:
-            if self.directory.accepts_requests(record):
+            if self.directory.is_in_service(record):
                 self._draining_since.pop(record.id, None)
                 if self._operator_rows_loaded:
                     self._seen_active.add(record.id)
