--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -114,6 +114,18 @@
     return script
 
 
+def flood(data):
+    """Send bytes until the connection ends."""
+
+    async def script(reader, writer, request_id_sent):
+        while True:
+            writer.write(data)
+            await writer.drain()
+            await sleep(0)
+
+    return script
+
+
 def hang(seconds=5.0):
     async def script(reader, writer, request_id_sent):
         end = create_task(reader.read(1))
@@ -258,6 +270,18 @@
     assert (response.status, response.body) == (200, b"to the end")
 
 
+async def test_flood_of_bytes_that_are_no_answer_may_have_run():
+    """An upstream sends bytes without end instead of an answer (pattern garble)."""
+    upstream = Upstream(flood(b"HTTP/1.1 102 Processing\r\n\r\n" * 100))
+    plan = make_plan(keyed=False, idempotent=False)
+    async with run_gateway(upstream, plan=plan) as (gateway, _):
+        started_at = monotonic()
+        response = await call_gateway(gateway)
+    assert (response.status, verdict(response)) == (502, "may-have-run")
+    assert monotonic() - started_at < 0.5
+    assert len(upstream.requests) == 1
+
+
 async def test_answer_to_another_request_is_ignored():
     """A late extra answer must not reach any caller (pattern garble, extra late)."""
     async with run_gateway(Upstream(answer_earlier_request_first())) as (gateway, _):
