Bound the bytes of an answer, and of all answers in progress

An upstream that sends bytes that are no answer, without end, was read until the caller's deadline (interim answers, chunks of single bytes, long chunk extensions, answers to other requests) or up to 64 MB a connection; five such connections exceed the memory of an instance.

The codec now counts lines of a head, interim answers, answers to other requests and bytes besides the body while it decodes, in steps, so that the parser never takes in a whole read as one head. A body may have 16 MiB, a declared length above it is given up with the head. AnswerBuffers bounds all incomplete answers together and gives up the largest. The connection is then reset, also where bytes come while no request waits; the caller gets 502 with may-have-run. Grants, releases and calls to the store have limits of their own.

--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -8,6 +8,7 @@
 from plantaincart_router.direct.connectfailures import ConnectFailures
 from plantaincart_router.direct.settings import SendSettings
 from plantaincart_router.exception import ConnectFailedError
+from plantaincart_router.http.answerbuffers import AnswerBuffers
 from plantaincart_router.http.exchange import HttpConnection
 
 __all__ = ["CLOSED_AT_ONCE_S", "UpstreamPools"]
@@ -32,7 +33,7 @@
     Parameters
     ----------
     settings : SendSettings
-        Timeouts for connecting and for idle connections.
+        Timeouts for connecting and for idle connections, and limits of answers.
 
     Attributes
     ----------
@@ -43,6 +44,9 @@
     def __init__(self, settings: SendSettings) -> None:
         self._settings = settings
         self.connect_failures = ConnectFailures()
+        self._buffers = AnswerBuffers(
+            settings.max_answer_bytes, settings.max_buffered_bytes
+        )
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
 
     def acquire_idle(
@@ -104,7 +108,7 @@
         self.connect_failures.begin_attempt(record, started_at)
         try:
             connection = await HttpConnection.open(
-                record.host, record.port, limit_s, True
+                record.host, record.port, limit_s, True, self._buffers
             )
         except ConnectFailedError:
             self.connect_failures.record_failure(record, monotonic())
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -218,6 +218,12 @@
     retry_budget_share : float
         Fraction of the retry budget that is used. The rest covers instances that have
         joined or left without being counted yet.
+    max_answer_bytes : int
+        Maximum size in bytes of the body of an upstream's answer. A larger one is given
+        up; the caller is told that the request may have run.
+    max_buffered_bytes : int
+        Maximum size in bytes of all incomplete answers of upstreams together. Above it
+        the largest one is given up.
     """
 
     connect_timeout_s: float = 0.3
@@ -227,6 +233,8 @@
     handover_s: float = 1.0
     least_left_s: float = 0.02
     retry_budget_share: float = 0.6
+    max_answer_bytes: int = 16777216
+    max_buffered_bytes: int = 67108864
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from plantaincart_router.exception import AnswerTimeoutError, ConnectFailedError
+from plantaincart_router.http.answerbuffers import AnswerBuffers
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import Header, HttpAnswer, HttpRequest
 
@@ -24,6 +25,8 @@
         TCP port.
     timeout_s : float
         Limit in seconds for one call, including opening a connection.
+    buffers : AnswerBuffers, optional
+        Limits of incomplete answers, if they are shared with other clients.
 
     Notes
     -----
@@ -31,7 +34,14 @@
     may have broken them as well. No call is sent twice.
     """
 
-    def __init__(self, host: str, port: int, timeout_s: float) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        timeout_s: float,
+        buffers: AnswerBuffers | None = None,
+    ) -> None:
+        self._buffers = buffers or AnswerBuffers()
         self._host = host
         self._port = port
         self._timeout_s = timeout_s
@@ -117,4 +127,6 @@
                 return connection
         if reuse_only:
             raise ConnectFailedError(f"{self._host}:{self._port}: no connection kept")
-        return await HttpConnection.open(self._host, self._port, timeout_s)
+        return await HttpConnection.open(
+            self._host, self._port, timeout_s, buffers=self._buffers
+        )
--- a/packages/router/plantaincart_router/http/codec.py
+++ b/packages/router/plantaincart_router/http/codec.py
@@ -10,6 +10,7 @@
     Connection,
     Data,
     EndOfMessage,
+    InformationalResponse,
     LocalProtocolError,
     RemoteProtocolError,
     Request,
@@ -21,6 +22,7 @@
     AnswerMalformedError,
     SendFailedError,
 )
+from plantaincart_router.http.answerbuffers import MAX_ANSWER_BYTES
 from plantaincart_router.http.framing import (
     BODILESS_STATUSES,
     decode_headers,
@@ -30,8 +32,20 @@
 
 __all__ = ["ClientCodec"]
 
+# Maximum size of a head, of the line before a chunk, and of the trailers.
 MAX_HEAD_BYTES = 65536
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_HEAD_LINES = 1000
+# Maximum number of interim answers (status 1xx), and of answers to other requests,
+# before the answer to a request.
+MAX_INTERIM_ANSWERS = 32
+MAX_SKIPPED_ANSWERS = 8
+# Received bytes that aren't part of the body (heads, chunk lines, trailers), beyond as
+# many as the body has. Chunks of single bytes take five such bytes each.
+MAX_FRAMING_BYTES = 262144
+# Bytes that are parsed at once. A parser of whole heads and trailers checks their size
+# only after it has taken in all bytes that it was given.
+HEAD_STEP_BYTES = 16384
+BODY_STEP_BYTES = 65536
 
 
 class ClientCodec:
@@ -45,6 +59,8 @@
     accepts_unframed : bool
         Whether an answer without a length ends when the server closes the
         connection; otherwise such an answer is an error.
+    max_answer_bytes : int
+        Maximum size of the body of an answer.
 
     Attributes
     ----------
@@ -52,9 +68,16 @@
         Whether another request may be sent after the last answer.
     """
 
-    def __init__(self, address: str, accepts_unframed: bool = False) -> None:
+    def __init__(
+        self,
+        address: str,
+        accepts_unframed: bool = False,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         self._address = address
         self._accepts_unframed = accepts_unframed
+        self._max_answer_bytes = max_answer_bytes
+        self._skipped_answers = 0
         self._method = ""
         self._sent_head: Request | None = None
         self.reset()
@@ -62,11 +85,21 @@
     def reset(self) -> None:
         """Discard a request that was encoded but not sent."""
         self._http = Connection(CLIENT, MAX_HEAD_BYTES)
-        self._head: Response | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._start_answer()
         self.reusable = True
 
+    def _start_answer(self) -> None:
+        self._head: Response | None = None
+        self._body = bytearray()
+        self._received_bytes = 0
+        self._head_lines = 0
+        self._interim_answers = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes held for an incomplete answer, besides its head."""
+        return len(self._body)
+
     def encode(self, request: HttpRequest) -> bytes:
         """
         Encode a request.
@@ -87,6 +120,7 @@
             If the request can't be encoded as valid HTTP.
         """
         self._method = request.method
+        self._skipped_answers = 0
         try:
             head = Request(
                 method=request.method,
@@ -125,11 +159,21 @@
         AnswerMalformedError
             If the bytes aren't a valid answer, or the answer is too large.
         """
+        start = 0
         try:
-            self._http.receive_data(data)
-            return self._read_events()
+            while start < len(data):
+                step = HEAD_STEP_BYTES if self._head is None else BODY_STEP_BYTES
+                part = data[start : start + step]
+                start += step
+                self._http.receive_data(part)
+                answer = self._read_events()
+                if answer is not None:
+                    self._keep_rest(data[start:])
+                    return answer
+                self._check_size(part)
         except RemoteProtocolError as error:
             raise AnswerMalformedError(f"{self._address}: {error}") from error
+        return None
 
     def read_end(self) -> HttpAnswer | None:
         """
@@ -162,8 +206,14 @@
         AnswerLostError
             If no further answer can arrive on the connection.
         AnswerMalformedError
-            If the bytes that follow aren't a valid answer.
+            If the bytes that follow aren't a valid answer, or too many answers to
+            other requests came.
         """
+        self._skipped_answers += 1
+        if self._skipped_answers > MAX_SKIPPED_ANSWERS:
+            raise self._make_size_error(
+                f"more than {MAX_SKIPPED_ANSWERS} answers to other requests"
+            )
         head, rest = self._sent_head, self._http.trailing_data
         if head is None or rest[1] or self._http.their_state is not DONE:
             raise AnswerLostError(f"{self._address}: answer to another request")
@@ -190,35 +240,59 @@
             elif kind is Response:
                 self._head = cast(Response, event)
                 self._check_framing(self._head)
+            elif kind is InformationalResponse:
+                self._interim_answers += 1
+                if self._interim_answers > MAX_INTERIM_ANSWERS:
+                    raise self._make_size_error(
+                        f"more than {MAX_INTERIM_ANSWERS} interim answers"
+                    )
             elif kind is EndOfMessage:
                 return self._finish(cast(Response, self._head))
 
+    def _check_size(self, part: bytes) -> None:
+        """Check the bytes of an incomplete answer that aren't part of its body."""
+        self._received_bytes += len(part)
+        if self._head is None:
+            self._head_lines += part.count(b"\n")
+            if self._head_lines > MAX_HEAD_LINES:
+                raise self._make_size_error(f"head above {MAX_HEAD_LINES} lines")
+        body_bytes = len(self._body)
+        if self._received_bytes > MAX_FRAMING_BYTES + 2 * body_bytes:
+            raise self._make_size_error(f"{MAX_FRAMING_BYTES} bytes besides the body")
+
+    def _keep_rest(self, rest: bytes) -> None:
+        """Keep bytes after a complete answer, which prevent a further request."""
+        if rest:
+            self._http.receive_data(rest)
+            self.reusable = False
+
+    def _make_size_error(self, detail: str) -> AnswerMalformedError:
+        return AnswerMalformedError(f"{self._address}: {detail}")
+
     def _check_framing(self, head: Response) -> None:
-        if self._accepts_unframed or self._method == "HEAD":
+        if self._method == "HEAD" or head.status_code in BODILESS_STATUSES:
             return
-        if head.status_code in BODILESS_STATUSES:
+        fields = dict(head.headers)
+        length = fields.get(b"content-length")
+        if length is not None and int(length) > self._max_answer_bytes:
+            raise self._make_size_error(f"answer above {self._max_answer_bytes} bytes")
+        if self._accepts_unframed or length is not None:
             return
-        if not any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in head.headers
-        ):
+        if b"transfer-encoding" not in fields:
             raise AnswerLostError(f"{self._address}: answer without length")
 
     def _add_data(self, data: bytes) -> None:
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_ANSWER_BYTES:
-            raise AnswerMalformedError(
-                f"{self._address}: answer above {MAX_ANSWER_BYTES} bytes"
-            )
+        self._body += data
+        if len(self._body) > self._max_answer_bytes:
+            raise self._make_size_error(f"answer above {self._max_answer_bytes} bytes")
 
     def _finish(self, head: Response) -> HttpAnswer:
         answer = HttpAnswer(
             head.status_code,
             decode_headers(head.headers),
-            b"".join(self._body),
+            bytes(self._body),
         )
-        self._head, self._body, self._body_bytes = None, [], 0
+        self._start_answer()
         states = (self._http.our_state, self._http.their_state)
         self.reusable = states == (DONE, DONE) and not self._http.trailing_data[0]
         return answer
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -29,11 +29,13 @@
 
 from plantaincart_router.exception import (
     AnswerLostError,
+    AnswerMalformedError,
     AnswerTimeoutError,
     ConnectFailedError,
     ExchangeError,
     SendFailedError,
 )
+from plantaincart_router.http.answerbuffers import AnswerBuffers, AnswerHolder
 from plantaincart_router.http.codec import ClientCodec
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 
@@ -52,7 +54,7 @@
 RESET_ON_CLOSE = pack("ii", 1, 0)
 
 
-class HttpConnection(Protocol):
+class HttpConnection(Protocol, AnswerHolder):
     """
     Client connection that carries one request at a time.
 
@@ -70,16 +72,25 @@
     coding requires; an answer that ends with the connection counts as lost.
     Bytes that arrive while no request is in progress close the connection, so an
     answer can't be taken for that of a later request. A connection whose
-    exchange failed, timed out or was cancelled is aborted. Data is written to the
-    socket synchronously after `before_write`, with no other task in between;
+    exchange failed, timed out or was cancelled is aborted, and reset where bytes came
+    that are no answer, so that a server that sends without end stops. Data is written
+    to the socket synchronously after `before_write`, with no other task in between;
     bytes that don't fit into the socket's buffer follow later.
     """
 
-    def __init__(self, address: str, accepts_unframed: bool = False) -> None:
+    def __init__(
+        self,
+        address: str,
+        accepts_unframed: bool = False,
+        buffers: AnswerBuffers | None = None,
+    ) -> None:
         self._address = address
         self._loop = get_running_loop()
         self._transport: Transport | None = None
-        self._codec = ClientCodec(address, accepts_unframed)
+        self._buffers = buffers or AnswerBuffers()
+        self._codec = ClientCodec(
+            address, accepts_unframed, self._buffers.max_answer_bytes
+        )
         self._matches_request: Callable[[HttpAnswer], bool] | None = None
         self._waiter: Future[HttpAnswer] | None = None
         self._closed = False
@@ -87,7 +98,12 @@
 
     @classmethod
     async def open(
-        cls, host: str, port: int, timeout_s: float, accepts_unframed: bool = False
+        cls,
+        host: str,
+        port: int,
+        timeout_s: float,
+        accepts_unframed: bool = False,
+        buffers: AnswerBuffers | None = None,
     ) -> Self:
         """
         Open a connection.
@@ -103,6 +119,8 @@
         accepts_unframed : bool
             Whether an answer without a length ends when the server closes the
             connection cleanly; otherwise such an answer is an error.
+        buffers : AnswerBuffers, optional
+            Limits of incomplete answers, shared with other connections.
 
         Returns
         -------
@@ -125,7 +143,7 @@
                     tcp_socket.close()
                     raise
                 _, connection = await loop.create_connection(
-                    lambda: cls(address, accepts_unframed), sock=tcp_socket
+                    lambda: cls(address, accepts_unframed, buffers), sock=tcp_socket
                 )
                 return connection
         except TimeoutError:
@@ -181,7 +199,7 @@
         AnswerTimeoutError
             If the complete answer doesn't arrive in time.
         AnswerMalformedError
-            If the answer isn't valid HTTP.
+            If the answer isn't valid HTTP or exceeds a limit.
         """
         transport = self._transport
         if transport is None or not self.reusable:
@@ -212,6 +230,7 @@
         finally:
             timer.cancel()
             self._waiter = None
+            self._buffers.release(self)
 
     def _reset_connection(self) -> None:
         """
@@ -258,7 +277,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode received bytes; close the connection if no request waits for any."""
         if self._waiter is None or self._waiter.done():
-            self.close()
+            self._reset_connection()
             return
         try:
             answer = self._codec.read(data)
@@ -270,9 +289,11 @@
                 answer = self._codec.skip_answer()
         except ExchangeError as error:
             self._fail_exchange(error)
-            self.close()
+            self._reset_connection()
             return
         if answer is None:
+            if self._codec.buffered_bytes:
+                self._buffers.hold(self, self._codec.buffered_bytes)
             return
         waiter, self._waiter = self._waiter, None
         self.last_answer_at = self._loop.time()
@@ -282,6 +303,17 @@
             self.close()
         waiter.set_result(answer)
 
+    def discard_answer(self) -> None:
+        """Give up an incomplete answer, since all together need too much memory."""
+        limit = self._buffers.max_total_bytes
+        self._fail_exchange(
+            AnswerMalformedError(
+                f"{self._address}: answers in progress above {limit} bytes"
+            )
+        )
+        self._reset_connection()
+        self._codec.reset()
+
     def _encode(self, request: HttpRequest) -> bytes:
         try:
             return self._codec.encode(request)
--- a/packages/router/plantaincart_router/tests/test_http_flood.py
+++ b/packages/router/plantaincart_router/tests/test_http_flood.py
@@ -119,6 +119,20 @@
     assert isinstance(server.end, ConnectionResetError)
 
 
+async def test_flood_of_answers_to_other_requests_is_ended() -> None:
+    """Late answers precede the expected one, but not without end."""
+    server = FloodingServer(b"", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 99)
+    async with serve(server) as port:
+        connection = await HttpConnection.open(HOST, port, 5)
+        started_at = monotonic()
+        with pytest.raises(AnswerMalformedError):
+            await connection.exchange(
+                GET, DEADLINE_S, matches_request=lambda answer: False
+            )
+        assert monotonic() - started_at < DEADLINE_S / 2
+        await server.ended.wait()
+
+
 async def test_flood_to_a_client_is_ended() -> None:
     """Grants and calls to the store go through HttpClient."""
     server = FloodingServer(CHUNKED, b"8000\r\n" + b"x" * 32768 + b"\r\n")
