--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -9,50 +9,29 @@
     timeout,
 )
 from collections.abc import Callable
-from socket import (
-    AF_INET,
-    AF_INET6,
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SO_LINGER,
-    SOCK_STREAM,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_NODELAY,
-    TCP_USER_TIMEOUT,
-    socket,
-)
-from struct import pack
 from typing import Self, cast
 
 from plantaincart_router.exception import (
     AnswerLostError,
+    AnswerMalformedError,
     AnswerTimeoutError,
     ConnectFailedError,
     ExchangeError,
     SendFailedError,
 )
+from plantaincart_router.http.answerbuffers import AnswerBuffers, AnswerHolder
+from plantaincart_router.http.clientsocket import (
+    SendTimeout,
+    make_socket,
+    reset_on_close,
+)
 from plantaincart_router.http.codec import ClientCodec
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 
 __all__ = ["HttpConnection"]
 
-# A connection whose state a middlebox has dropped ends after
-# KEEPALIVE_IDLE_S + KEEPALIVE_COUNT * KEEPALIVE_INTERVAL_S seconds of silence.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-# Time for which sent bytes may stay unacknowledged. It detects a machine that is down,
-# and is long enough for several retransmissions of a lost packet.
-USER_TIMEOUT_MS = 800
-# Value of SO_LINGER (enabled, 0 seconds) with which a close resets the connection and
-# discards unsent and unacknowledged bytes.
-RESET_ON_CLOSE = pack("ii", 1, 0)
 
-
-class HttpConnection(Protocol):
+class HttpConnection(Protocol, AnswerHolder):
     """
     Client connection that carries one request at a time.
 
@@ -70,24 +49,39 @@
     coding requires; an answer that ends with the connection counts as lost.
     Bytes that arrive while no request is in progress close the connection, so an
     answer can't be taken for that of a later request. A connection whose
-    exchange failed, timed out or was cancelled is aborted. Data is written to the
-    socket synchronously after `before_write`, with no other task in between;
+    exchange failed, timed out or was cancelled is aborted, and reset where bytes came
+    that are no answer, so that a server that sends without end stops. Data is written
+    to the socket synchronously after `before_write`, with no other task in between;
     bytes that don't fit into the socket's buffer follow later.
     """
 
-    def __init__(self, address: str, accepts_unframed: bool = False) -> None:
+    def __init__(
+        self,
+        address: str,
+        accepts_unframed: bool = False,
+        buffers: AnswerBuffers | None = None,
+    ) -> None:
         self._address = address
         self._loop = get_running_loop()
         self._transport: Transport | None = None
-        self._codec = ClientCodec(address, accepts_unframed)
+        self._buffers = buffers or AnswerBuffers()
+        self._codec = ClientCodec(
+            address, accepts_unframed, self._buffers.max_answer_bytes
+        )
         self._matches_request: Callable[[HttpAnswer], bool] | None = None
         self._waiter: Future[HttpAnswer] | None = None
         self._closed = False
+        self._send_timeout: SendTimeout | None = None
         self.last_answer_at = 0.0
 
     @classmethod
     async def open(
-        cls, host: str, port: int, timeout_s: float, accepts_unframed: bool = False
+        cls,
+        host: str,
+        port: int,
+        timeout_s: float,
+        accepts_unframed: bool = False,
+        buffers: AnswerBuffers | None = None,
     ) -> Self:
         """
         Open a connection.
@@ -103,6 +97,8 @@
         accepts_unframed : bool
             Whether an answer without a length ends when the server closes the
             connection cleanly; otherwise such an answer is an error.
+        buffers : AnswerBuffers, optional
+            Limits of incomplete answers, shared with other connections.
 
         Returns
         -------
@@ -118,14 +114,14 @@
         loop = get_running_loop()
         try:
             async with timeout(timeout_s):
-                tcp_socket = _make_socket(host)
+                tcp_socket = make_socket(host)
                 try:
                     await loop.sock_connect(tcp_socket, (host, port))
                 except BaseException:
                     tcp_socket.close()
                     raise
                 _, connection = await loop.create_connection(
-                    lambda: cls(address, accepts_unframed), sock=tcp_socket
+                    lambda: cls(address, accepts_unframed, buffers), sock=tcp_socket
                 )
                 return connection
         except TimeoutError:
@@ -181,7 +177,7 @@
         AnswerTimeoutError
             If the complete answer doesn't arrive in time.
         AnswerMalformedError
-            If the answer isn't valid HTTP.
+            If the answer isn't valid HTTP or exceeds a limit.
         """
         transport = self._transport
         if transport is None or not self.reusable:
@@ -199,6 +195,8 @@
             self._codec.reset()
             raise
         try:
+            if self._send_timeout is not None:
+                self._send_timeout.start(len(data))
             transport.write(data)
             self._matches_request = matches_request
             self._waiter = waiter
@@ -212,6 +210,7 @@
         finally:
             timer.cancel()
             self._waiter = None
+            self._buffers.release(self)
 
     def _reset_connection(self) -> None:
         """
@@ -223,11 +222,13 @@
         if self._transport is not None and not self._transport.is_closing():
             tcp_socket = self._transport.get_extra_info("socket")
             if tcp_socket is not None:
-                tcp_socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+                reset_on_close(tcp_socket)
         self.close()
 
     def close(self) -> None:
         """Abort the connection; an exchange in progress fails as lost."""
+        if self._send_timeout is not None:
+            self._send_timeout.stop()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
         self._fail_exchange(AnswerLostError(f"{self._address}: connection aborted"))
@@ -235,10 +236,15 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = cast(Transport, transport)
+        tcp_socket = transport.get_extra_info("socket")
+        if tcp_socket is not None:
+            self._send_timeout = SendTimeout(self._loop, tcp_socket)
         self.last_answer_at = self._loop.time()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an exchange in progress as lost."""
+        if self._send_timeout is not None:
+            self._send_timeout.stop()
         self._fail_exchange(
             AnswerLostError(f"{self._address}: {exc or 'connection ended'}")
         )
@@ -258,7 +264,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode received bytes; close the connection if no request waits for any."""
         if self._waiter is None or self._waiter.done():
-            self.close()
+            self._reset_connection()
             return
         try:
             answer = self._codec.read(data)
@@ -270,9 +276,11 @@
                 answer = self._codec.skip_answer()
         except ExchangeError as error:
             self._fail_exchange(error)
-            self.close()
+            self._reset_connection()
             return
         if answer is None:
+            if self._codec.buffered_bytes:
+                self._buffers.hold(self, self._codec.buffered_bytes)
             return
         waiter, self._waiter = self._waiter, None
         self.last_answer_at = self._loop.time()
@@ -282,6 +290,17 @@
             self.close()
         waiter.set_result(answer)
 
+    def discard_answer(self) -> None:
+        """Give up an incomplete answer, since all together need too much memory."""
+        limit = self._buffers.max_total_bytes
+        self._fail_exchange(
+            AnswerMalformedError(
+                f"{self._address}: answers in progress above {limit} bytes"
+            )
+        )
+        self._reset_connection()
+        self._codec.reset()
+
     def _encode(self, request: HttpRequest) -> bytes:
         try:
             return self._codec.encode(request)
@@ -300,15 +319,3 @@
         self._closed = True
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
-
-
-def _make_socket(host: str) -> socket:
-    tcp_socket = socket(AF_INET6 if ":" in host else AF_INET, SOCK_STREAM)
-    tcp_socket.setblocking(False)
-    tcp_socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-    tcp_socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    tcp_socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT)
-    return tcp_socket
