Send upstreams no requests before their Retry-After

Callers' requests reached upstreams that had answered 503 with Retry-After, since the header wasn't read. The selector passes such upstreams over, or refuses at once as not run with the time that remains; the sender checks again after a connection was opened.

--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -71,6 +71,9 @@
         Number of requests at the upstream, running and waiting, if it is stated.
     idle_timeout_s : float or None
         Seconds for which the upstream keeps an idle connection, if it is stated.
+    retry_after_s : float
+        Seconds for which an upstream that rejected the request asks this instance to
+        send no further requests; 0 for none.
     """
 
     not_run: bool
@@ -78,6 +81,7 @@
     answered_by: str
     request_count: int | None
     idle_timeout_s: float | None
+    retry_after_s: float = 0.0
 
 
 class HeaderCodec(ABC):
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -15,6 +15,7 @@
     refuse_may_have_run,
 )
 
+from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.call import Call, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.connectfailures import ConnectFailures
@@ -31,6 +32,8 @@
 MIN_UNOWNED_RETRY_S = 0.5
 # Seconds by which requests stay parked beyond the expected end of a handover.
 HANDOVER_MARGIN_S = 0.5
+# Maximum number of upstreams that the text of a rejection names.
+MAX_LISTED_UPSTREAMS = 3
 
 
 class UpstreamSelector:
@@ -47,6 +50,8 @@
         Limits requests to cold upstreams.
     connect_failures : ConnectFailures
         Upstreams to which connecting failed recently.
+    backoffs : UpstreamBackoffs
+        Upstreams that have asked not to get requests for some time.
     metrics : RouterMetrics
         Counters and histograms.
     """
@@ -57,12 +62,14 @@
         view: SystemView,
         cold_limiter: ColdUpstreamLimiter,
         connect_failures: ConnectFailures,
+        backoffs: UpstreamBackoffs,
         metrics: RouterMetrics,
     ) -> None:
         self._settings = settings
         self._view = view
         self._cold_limiter = cold_limiter
         self._connect_failures = connect_failures
+        self._backoffs = backoffs
         self._metrics = metrics
         self._random = Random()
         self._mean_work_s: dict[str, float] = {}
@@ -95,6 +102,7 @@
             and self._view.directory.accepts_requests(record)
             and record.id not in call.excluded_upstreams
         ]
+        candidates = self._exclude_backoffs(call, candidates)
         # After an outage of the store, announcements may be missing although the
         # upstreams run. These are used only if there are no others.
         is_suspected = self._view.directory.is_suspected
@@ -121,6 +129,8 @@
                 self._metrics.observe(
                     "park_seconds", monotonic() - parked_at, call.service.name
                 )
+                if self.is_backed_off(record):
+                    raise self.refuse_backed_off(call, [record])
                 self._check_reachable(call, record)
                 self._admit(call, record)
                 return record
@@ -141,6 +151,37 @@
                 raise self._refuse_unowned(call, key, unowned_s, expected_s)
             await self.wait_for_change(call, wait_s)
 
+    def is_backed_off(self, record: UpstreamRecord) -> bool:
+        """Whether an upstream has asked not to get requests for some time."""
+        return self._backoffs.remaining_s(record, monotonic()) > 0.0
+
+    def _exclude_backoffs(
+        self, call: Call, candidates: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        allowed = [record for record in candidates if not self.is_backed_off(record)]
+        if candidates and not allowed:
+            raise self.refuse_backed_off(call, candidates)
+        return allowed
+
+    def refuse_backed_off(
+        self, call: Call, records: Sequence[UpstreamRecord]
+    ) -> RefusedError:
+        """
+        Return the error for a request whose upstreams have all asked for a pause.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        records : sequence of UpstreamRecord
+            Upstreams that could run it; at least one.
+        """
+        now = monotonic()
+        remaining_s = min(self._backoffs.remaining_s(record, now) for record in records)
+        names = ", ".join(record.id for record in records[:MAX_LISTED_UPSTREAMS])
+        detail = f"no request for {remaining_s:.1f} s as requested by {names}"
+        return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, remaining_s)
+
     def _check_reachable(self, call: Call, record: UpstreamRecord) -> None:
         """Reject a request if connecting to the owner of its key has just failed."""
         retry_delay_s = self._connect_failures.retry_delay_s(record, monotonic())
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -6,6 +6,7 @@
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.verdict import Reason
 
+from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
@@ -16,6 +17,7 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
 from plantaincart_router.http.message import HttpAnswer
+from plantaincart_router.log import write_event
 
 __all__ = ["UpstreamSender"]
 
@@ -36,6 +38,8 @@
         Connections to upstreams.
     cold_limiter : ColdUpstreamLimiter
         Counts requests to cold upstreams.
+    backoffs : UpstreamBackoffs
+        Records upstreams that ask not to get requests for some time.
     selector : UpstreamSelector
         Estimates the duration of requests.
     metrics : RouterMetrics
@@ -49,6 +53,7 @@
         header_codec: HeaderCodec,
         pools: UpstreamPools,
         cold_limiter: ColdUpstreamLimiter,
+        backoffs: UpstreamBackoffs,
         selector: UpstreamSelector,
         metrics: RouterMetrics,
     ) -> None:
@@ -57,6 +62,7 @@
         self._header_codec = header_codec
         self._pools = pools
         self._cold_limiter = cold_limiter
+        self._backoffs = backoffs
         self._selector = selector
         self._metrics = metrics
 
@@ -107,6 +113,13 @@
             load.in_flight -= 1
         metadata = self._header_codec.read_answer(answer)
         now = monotonic()
+        if metadata.retry_after_s > 0.0:
+            self._backoffs.record(record, metadata.retry_after_s, now)
+            write_event(
+                "upstream_backoff",
+                upstream=record.id,
+                seconds=round(metadata.retry_after_s, 3),
+            )
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
         if metadata.not_run:
@@ -158,6 +171,10 @@
         try:
             if connection is None:
                 connection = await self._pools.open(record, call.remaining_s)
+                if self._backoffs.remaining_s(record, monotonic()) > 0.0:
+                    # Another request was rejected while the connection was opened.
+                    connection.close()
+                    raise NotRunError("the upstream asked for a pause", False, False)
             sent_at = monotonic()
             remaining_s = call.remaining_s
             request = self._header_codec.write_request(
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -372,6 +372,7 @@
             answered_by=find_header(answer.headers, "answered-by") or "",
             request_count=int(in_progress) if in_progress else None,
             idle_timeout_s=None,
+            retry_after_s=float(find_header(answer.headers, "retry-after") or 0.0),
         )
 
     def belongs_to_request(self, answer, request_id):
