--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -9,7 +9,6 @@
 from plantaincart_core.verdict import Reason, RefusedError, refuse_may_have_run
 from plantaincart_core.windowbudget import WindowRetryBudget
 
-from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
@@ -74,19 +73,11 @@
         self._started_at = monotonic()
         self._budgets: dict[str, WindowRetryBudget] = {}
         cold_limiter = ColdUpstreamLimiter(settings.bounds)
-        backoffs = UpstreamBackoffs()
         self._selector = UpstreamSelector(
-            settings, view, cold_limiter, pools.connect_failures, backoffs, metrics
+            settings, view, cold_limiter, pools.connect_failures, metrics
         )
         self._sender = UpstreamSender(
-            settings,
-            view,
-            header_codec,
-            pools,
-            cold_limiter,
-            backoffs,
-            self._selector,
-            metrics,
+            settings, view, header_codec, pools, cold_limiter, self._selector, metrics
         )
         self.in_flight = 0
 
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -15,7 +15,6 @@
     refuse_may_have_run,
 )
 
-from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.call import Call, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.connectfailures import ConnectFailures
@@ -50,8 +49,6 @@
         Limits requests to cold upstreams.
     connect_failures : ConnectFailures
         Upstreams to which connecting failed recently.
-    backoffs : UpstreamBackoffs
-        Upstreams that have asked not to get requests for some time.
     metrics : RouterMetrics
         Counters and histograms.
     """
@@ -62,14 +59,12 @@
         view: SystemView,
         cold_limiter: ColdUpstreamLimiter,
         connect_failures: ConnectFailures,
-        backoffs: UpstreamBackoffs,
         metrics: RouterMetrics,
     ) -> None:
         self._settings = settings
         self._view = view
         self._cold_limiter = cold_limiter
         self._connect_failures = connect_failures
-        self._backoffs = backoffs
         self._metrics = metrics
         self._random = Random()
         self._mean_work_s: dict[str, float] = {}
@@ -153,7 +148,7 @@
 
     def is_backed_off(self, record: UpstreamRecord) -> bool:
         """Whether an upstream has asked not to get requests for some time."""
-        return self._backoffs.remaining_s(record, monotonic()) > 0.0
+        return self._view.backoffs.remaining_s(record, monotonic()) > 0.0
 
     def _exclude_backoffs(
         self, call: Call, candidates: Sequence[UpstreamRecord]
@@ -176,8 +171,8 @@
         records : sequence of UpstreamRecord
             Upstreams that could run it; at least one.
         """
-        now = monotonic()
-        remaining_s = min(self._backoffs.remaining_s(record, now) for record in records)
+        backoffs, now = self._view.backoffs, monotonic()
+        remaining_s = min(backoffs.remaining_s(record, now) for record in records)
         names = ", ".join(record.id for record in records[:MAX_LISTED_UPSTREAMS])
         detail = f"no request for {remaining_s:.1f} s as requested by {names}"
         return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, remaining_s)
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -6,7 +6,6 @@
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.verdict import Reason
 
-from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
@@ -38,8 +37,6 @@
         Connections to upstreams.
     cold_limiter : ColdUpstreamLimiter
         Counts requests to cold upstreams.
-    backoffs : UpstreamBackoffs
-        Records upstreams that ask not to get requests for some time.
     selector : UpstreamSelector
         Estimates the duration of requests.
     metrics : RouterMetrics
@@ -53,7 +50,6 @@
         header_codec: HeaderCodec,
         pools: UpstreamPools,
         cold_limiter: ColdUpstreamLimiter,
-        backoffs: UpstreamBackoffs,
         selector: UpstreamSelector,
         metrics: RouterMetrics,
     ) -> None:
@@ -62,7 +58,6 @@
         self._header_codec = header_codec
         self._pools = pools
         self._cold_limiter = cold_limiter
-        self._backoffs = backoffs
         self._selector = selector
         self._metrics = metrics
 
@@ -114,7 +109,7 @@
         metadata = self._header_codec.read_answer(answer)
         now = monotonic()
         if metadata.retry_after_s > 0.0:
-            self._backoffs.record(record, metadata.retry_after_s, now)
+            self._view.backoffs.record(record, metadata.retry_after_s, now)
             write_event(
                 "upstream_backoff",
                 upstream=record.id,
@@ -171,7 +166,7 @@
         try:
             if connection is None:
                 connection = await self._pools.open(record, call.remaining_s)
-                if self._backoffs.remaining_s(record, monotonic()) > 0.0:
+                if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
                     # Another request was rejected while the connection was opened.
                     connection.close()
                     raise NotRunError("the upstream asked for a pause", False, False)
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -15,6 +15,7 @@
     RefusedKey,
 )
 
+from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
 from plantaincart_router.direct.pool import UpstreamPools
@@ -80,6 +81,7 @@
         self.rank: int | None = None
         self._members_counted_at = 0.0
         self.loads = UpstreamLoads(settings.load)
+        self.backoffs = UpstreamBackoffs()
         self._changed = Event()
 
     def replace_table(self, table: str, view: TableRows, known_until: float) -> None:
