Test that keys leave an owner that asks all instances for a long pause

Requests for its keys are refused until the time of its Retry-After is over, since nothing tells the coordinator.

--- a/packages/router/plantaincart_router/direct/tests/test_backoff.py
+++ b/packages/router/plantaincart_router/direct/tests/test_backoff.py
@@ -1,11 +1,16 @@
 """Upstreams that reject a request with 503 and ask to be left alone for a time."""
 
-from asyncio import create_task, gather, sleep
+from asyncio import create_task, gather, get_running_loop, sleep
 from time import monotonic
 
 import pytest
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.tests.fakes import make_plan
+from plantaincart_router.direct.tests.memorysystem import (
+    SAMPLE_KEYS,
+    run_system,
+    wait_for,
+)
 from plantaincart_router.direct.tests.test_gateway import (
     Upstream,
     answer,
@@ -116,3 +121,47 @@
         (503, "not-run")
     ] * 2
     assert len(rejecting.requests) == 1
+
+
+async def ask_all_keys(system, until, limit_s):
+    """Request all keys evenly at all instances until a condition holds."""
+
+    def ask():
+        for instance in system.instances.values():
+            for key in SAMPLE_KEYS:
+                instance.view.record_key_load("ledger", key, 0.01)
+        return until()
+
+    await wait_for(ask, limit_s)
+
+
+def ask_for_pause(instances, seconds):
+    for instance in instances:
+        record = instance.view.directory.get("u1")
+        instance.view.backoffs.record(record, seconds, monotonic())
+
+
+async def test_keys_of_an_owner_that_wants_a_long_pause_move():
+    """The keys of an overloaded owner are refused for as long as it asks (BUDGET)."""
+    async with run_system(get_running_loop()) as system:
+        ask_for_pause(system.instances.values(), 30.0)
+        owner = system.upstreams["u1"]
+        await ask_all_keys(
+            system, lambda: not any(owner.owns(key) for key in SAMPLE_KEYS), 3.0
+        )
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree())
+
+
+@pytest.mark.parametrize(("instances", "seconds"), [(1, 30.0), (3, 1.0)])
+async def test_keys_stay_with_an_owner_that_wants_a_short_or_narrow_pause(
+    instances, seconds
+):
+    """A move costs the caches of its keys, and a retry at another instance succeeds."""
+    async with run_system(get_running_loop()) as system:
+        owner = system.upstreams["u1"]
+        keys = [key for key in SAMPLE_KEYS if owner.owns(key)]
+        ask_for_pause(list(system.instances.values())[:instances], seconds)
+        ends_at = monotonic() + 0.8
+        await ask_all_keys(system, lambda: monotonic() > ends_at, 3.0)
+        assert keys
+        assert all(owner.owns(key) for key in keys)
