Move keys from an owner that most instances must leave alone for long

Callers of its keys were refused until the end of the Retry-After, however long. Members report the upstreams that have asked them for 3 s or more; the coordinator counts an owner that half of the members or more report as without capacity, so that the balance of load moves its keys. If no other warm upstream could take them, nothing changes. The owner may have asked one instance only: then its keys stay, and callers retry elsewhere.

The case in which all upstreams ask for a pause is new here.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -56,6 +56,9 @@
 # of processor time.
 MIN_GATHER_S = 0.02
 NOTICES_PER_S = 1500.0
+# Share of the members that an upstream must have asked for a long pause before its keys
+# move. Below it, callers that are refused reach other instances on a retry.
+MIN_BACKED_OFF_SHARE = 0.5
 # Seconds for which the encoded whole map and the slowness of the upstreams are reused.
 # The map contains the seconds until unowned keys are free, so it becomes outdated even
 # if no owner changes.
@@ -404,6 +407,7 @@
         for record in displaced_upstreams:
             self._view.displace(record)
         unrenewed, self._granter.unrenewed = self._granter.unrenewed, []
+        backed_off = self._list_backed_off()
         for policy in routing_config.services.values():
             if not policy.keyed:
                 continue
@@ -411,7 +415,13 @@
             if placement is None:
                 placement = self._add_placement(policy.name)
             placement.regrant(unrenewed)
-            await placement.step()
+            await placement.step(backed_off)
+
+    def _list_backed_off(self) -> set[str]:
+        """List the upstreams that so many members must leave alone that keys move."""
+        limit = len(self._members) * MIN_BACKED_OFF_SHARE
+        counts = self._members.count_backoffs()
+        return {name for name, count in counts.items() if count >= limit}
 
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._decayed_at
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -339,6 +339,7 @@
                 for feed in self.feeds
                 if feed.version is not None
             },
+            backed_off=view.backoffs.list_long(view.directory, monotonic()),
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -176,6 +176,14 @@
             if name != excluded
         ]
 
+    def count_backoffs(self) -> Counter[str]:
+        """Count the members that each upstream has asked for a long pause."""
+        return Counter(
+            name
+            for member in self._members.values()
+            for name in set(member.report.backed_off)
+        )
+
     def pack_loads(self, now: float) -> bytes:
         """
         Encode the number of requests in progress at each upstream, over all members.
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -46,6 +46,7 @@
     _check_range(report.slowness.values(), MAX_SLOWNESS, "slowness")
     _check_range([key.key for key in report.refusing], KEY_COUNT - 1, "refused key")
     _check(all(version >= 0 for version in report.tables.values()), "tables")
+    _check_range(map(len, report.backed_off), MAX_NAME_LENGTH, "backed_off")
 
 
 def check_notice(notice: CoordinatorNotice) -> None:
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -1,7 +1,7 @@
 """Assignment of one service's keys to upstreams, and moves between them."""
 
 from asyncio import Task, create_task, sleep
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import replace
 from time import monotonic
 
@@ -161,11 +161,19 @@
         """Reduce the weight of earlier requests by a factor."""
         self._key_loads.decay(factor)
 
-    async def step(self) -> None:
-        """Assign unowned keys to other upstreams, or rebalance the load."""
+    async def step(self, backed_off: Set[str] = frozenset()) -> None:
+        """
+        Assign unowned keys to other upstreams, or rebalance the load.
+
+        Parameters
+        ----------
+        backed_off : set of str
+            Upstreams whose keys should move, as most instances must not send them
+            requests.
+        """
         self._registry.record_announced()
         planner = self._planner
-        owners = planner.list_owners()
+        owners = planner.list_owners(backed_off)
         if not any(owner.accepts_keys for owner in owners.values()):
             return
         if self._moving or any(key_range.owner for key_range in self.owners):
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -1,6 +1,6 @@
 """Planning of key moves for one service, by the state of its upstreams."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import replace
 from time import monotonic
 
@@ -79,15 +79,25 @@
         self._receivers_changed_at = monotonic()
         self.failed_ranges: set[KeyRange] = set()
 
-    def list_owners(self) -> dict[str, Owner]:
-        """Return the upstreams of the service with their capacity."""
+    def list_owners(self, backed_off: Set[str]) -> dict[str, Owner]:
+        """
+        Return the upstreams of the service with their capacity.
+
+        Parameters
+        ----------
+        backed_off : set of str
+            Upstreams that count as without capacity, unless no other one could receive
+            their keys.
+        """
         directory = self._view.directory
         now = monotonic()
         owners = {}
         for record in directory:
             if record.service != self._service:
                 continue
-            may_work = directory.accepts_requests(record)
+            may_work = (
+                directory.accepts_requests(record) and record.id not in backed_off
+            )
             is_failing = self._granter.is_failing(record.id, record.born)
             slowness = max(MIN_SLOWNESS, self._view.loads.get(record.id).slowness)
             is_cold = directory.remaining_warm_up_s(record.id, now) > 0.0
@@ -98,6 +108,8 @@
                 accepts_keys=may_work and not is_failing and not is_cold,
             )
         if not any(owner.accepts_keys for owner in owners.values()):
+            if backed_off:
+                return self.list_owners(frozenset())
             # Without warm upstreams, keys go to cold ones.
             return {
                 name: replace(owner, accepts_keys=owner.capacity > NO_CAPACITY)
--- a/packages/router/plantaincart_router/direct/tests/test_backoff.py
+++ b/packages/router/plantaincart_router/direct/tests/test_backoff.py
@@ -5,7 +5,7 @@
 
 import pytest
 from plantaincart_router.direct.pool import UpstreamPools
-from plantaincart_router.direct.tests.fakes import make_plan
+from plantaincart_router.direct.tests.fakes import make_plan, make_record
 from plantaincart_router.direct.tests.memorysystem import (
     SAMPLE_KEYS,
     run_system,
@@ -135,9 +135,9 @@
     await wait_for(ask, limit_s)
 
 
-def ask_for_pause(instances, seconds):
+def ask_for_pause(instances, seconds, upstream="u1"):
     for instance in instances:
-        record = instance.view.directory.get("u1")
+        record = instance.view.directory.get(upstream)
         instance.view.backoffs.record(record, seconds, monotonic())
 
 
@@ -165,3 +165,19 @@
         await ask_all_keys(system, lambda: monotonic() > ends_at, 3.0)
         assert keys
         assert all(owner.owns(key) for key in keys)
+
+
+async def test_keys_of_a_draining_owner_move_although_all_upstreams_want_a_pause():
+    async with run_system(get_running_loop()) as system:
+        for name in system.upstreams:
+            ask_for_pause(system.instances.values(), 30.0, name)
+        await sleep(0.2)
+        for instance in system.instances.values():
+            instance.view.directory.put(make_record("u1", ready=False), monotonic())
+        owner = system.upstreams["u1"]
+        await wait_for(
+            lambda: (
+                not any(owner.owns(key) for key in SAMPLE_KEYS)
+                and system.all_keys_owned()
+            )
+        )
--- a/packages/router/plantaincart_router/direct/tests/test_malformed_message.py
+++ b/packages/router/plantaincart_router/direct/tests/test_malformed_message.py
@@ -60,6 +60,7 @@
     slowness=st.dictionaries(NAMES, NUMBERS, max_size=3),
     refusing=st.lists(build(RefusedKey), max_size=2),
     tables=st.dictionaries(NAMES, INTEGERS, max_size=2),
+    backed_off=st.lists(NAMES, max_size=3),
     # A report of a later epoch ends the term, as it must.
     epoch=st.integers(-5, 1),
 )
