Show a restored store in the operator's explain and timeline

table_restored says how many rows were read anew, which upstreams or closures were kept as known, and the configuration in force. explain counts the events of a restoration as context, those of the coordinator for requests at all instances, and says in one line what happened; it also shows upstream_backoff.

--- a/packages/operator/plantaincart_operator/explain.py
+++ b/packages/operator/plantaincart_operator/explain.py
@@ -44,7 +44,24 @@
 }
 """Explanation of each outcome of a `request_ended` event."""
 
-CONTEXT_EVENTS = frozenset(
+RESTORATION_EVENTS = frozenset(
+    (
+        "store_era_risen",
+        "store_restored",
+        "table_restored",
+        "term_not_reclaimed",
+        "term_reclaimed",
+        "unknown_grants_awaited",
+    )
+)
+"""Events of a store that was restored from a copy."""
+
+COORDINATOR_EVENTS = frozenset(
+    ("term_ended", "term_reclaimed", "term_started", "unknown_grants_awaited")
+)
+"""Events of the coordinator that concern requests at all instances."""
+
+CONTEXT_EVENTS = RESTORATION_EVENTS | frozenset(
     (
         "coordinator_known",
         "data_centres_closed",
@@ -60,6 +77,7 @@
         "store_regained",
         "term_ended",
         "term_started",
+        "upstream_backoff",
         "upstream_changed",
         "upstream_gone",
     )
@@ -90,6 +108,9 @@
         for event in self.events:
             console.print(_format_event(event), markup=False, soft_wrap=True)
         console.print(f"cause: {self.describe_cause()}", markup=False, soft_wrap=True)
+        restoration = self.describe_restoration()
+        if restoration:
+            console.print(restoration, markup=False, soft_wrap=True)
         if self.context:
             console.print("earlier events of the instances and upstreams concerned:")
         for event in self.context:
@@ -109,6 +130,24 @@
         detail = fields.get("detail")
         return f"{cause} ({detail})" if detail else cause
 
+    def describe_restoration(self) -> str:
+        """Return what a restoration of the store changed; empty if there was none."""
+        events = [event for event in self.context if event.event in RESTORATION_EVENTS]
+        eras = [_read_era(event) for event in events if "era" in event.fields]
+        if not eras:
+            return ""
+        parts = [f"the store was restored from a copy, era {max(eras)}"]
+        previous = [
+            event.fields[name]
+            for event in events
+            for name in ("previous", "previous_era")
+            if name in event.fields
+        ]
+        if previous:
+            parts[0] += f" after {previous[0]}"
+        parts += [part for event in events if (part := _describe_restoration(event))]
+        return "; ".join(parts)
+
 
 def read_events(paths: Sequence[Path]) -> Iterator[LogEvent]:
     """
@@ -171,6 +210,35 @@
     )
 
 
+def _read_era(event: LogEvent) -> int:
+    era = event.fields["era"]
+    return int(era) if era.isdecimal() else 0
+
+
+def _describe_restoration(event: LogEvent) -> str:
+    fields = event.fields
+    match event.event:
+        case "table_restored":
+            kept = fields.get("kept") or "nothing else"
+            return (
+                f"{event.instance} read {fields.get('read', '?')} rows of "
+                f"{fields.get('table', '?')} anew and kept {kept}"
+            )
+        case "term_reclaimed":
+            return (
+                f"{event.instance} went on as the coordinator, epoch "
+                f"{fields.get('epoch', '?')} after {fields.get('previous_epoch', '?')}"
+            )
+        case "term_not_reclaimed":
+            return f"{event.instance} couldn't claim its term anew"
+        case "unknown_grants_awaited":
+            return (
+                f"{event.instance} granted no keys for {fields.get('wait_s', '?')} s, "
+                "until all earlier grants had ended"
+            )
+    return ""
+
+
 def _find_context(
     all_events: Sequence[LogEvent], request_events: Sequence[LogEvent]
 ) -> tuple[LogEvent, ...]:
@@ -184,7 +252,7 @@
             continue
         upstream = event.fields.get("upstream")
         is_related = upstream in upstreams if upstream else event.instance in instances
-        if is_related or event.event in ("term_started", "term_ended"):
+        if is_related or event.event in COORDINATOR_EVENTS:
             context.append(event)
     return tuple(context[-MAX_CONTEXT_EVENTS:])
 
--- a/packages/operator/plantaincart_operator/tests/test_explain.py
+++ b/packages/operator/plantaincart_operator/tests/test_explain.py
@@ -1,8 +1,12 @@
 """Explaining requests from log lines that were recorded in benchmark runs."""
 
+from io import StringIO
+
 import pytest
 from plantaincart_operator.exception import UsageError
 from plantaincart_operator.explain import explain_request, read_events
+from plantaincart_operator.timeline import EventFilter, build_timeline
+from rich.console import Console
 
 
 def format_log_line(clock, instance, event_and_fields):
@@ -91,3 +95,69 @@
     without_end = [event for event in events if event.event != "request_ended"]
     report = explain_request("c4854c20a90493e9", without_end)
     assert "isn't in these logs" in report.describe_cause()
+
+
+RESTORED = "\n".join(
+    (
+        format_log_line(10, "a-1", "event=store_era_risen previous=0 era=1"),
+        format_log_line(11, "a-1", "event=store_restored previous=0 era=1"),
+        format_log_line(
+            12,
+            "a-1",
+            "event=table_restored table=servers previous=0 era=1 read=3 kept=i-7,i-9",
+        ),
+        format_log_line(
+            13,
+            "c-3",
+            "event=term_reclaimed previous_epoch=2 epoch=65537 previous_era=0 era=1",
+        ),
+        format_log_line(14, "c-4", "event=unknown_grants_awaited era=1 wait_s=5.8"),
+        format_log_line(
+            15, "b-2", 'event=table_restored table=op previous=0 era=1 read=1 kept=""'
+        ),
+        format_log_line(16, "a-1", REFUSED),
+    )
+)
+
+
+def test_restoration_is_explained(tmp_path):
+    (tmp_path / "day.log").write_text(RESTORED)
+    events = list(read_events([tmp_path]))
+    report = explain_request("c4854c20a90493e9", events)
+    # A table that another instance read anew doesn't concern the request.
+    assert [event.event for event in report.context] == [
+        "store_era_risen",
+        "store_restored",
+        "table_restored",
+        "term_reclaimed",
+        "unknown_grants_awaited",
+    ]
+    assert report.describe_restoration() == (
+        "the store was restored from a copy, era 1 after 0; "
+        "a-1 read 3 rows of servers anew and kept i-7,i-9; "
+        "c-3 went on as the coordinator, epoch 65537 after 2; "
+        "c-4 granted no keys for 5.8 s, until all earlier grants had ended"
+    )
+
+
+def test_restoration_is_in_the_timeline(tmp_path):
+    lines = [line[line.index("clock=") :] for line in RESTORED.split("\n")]
+    (tmp_path / "day.log").write_text("\n".join(lines))
+    report = build_timeline([tmp_path / "day.log"], EventFilter())
+    assert report.malformed == ()
+    assert [(event.event, event.fields.get("era")) for event in report.events] == [
+        ("store_era_risen", "1"),
+        ("store_restored", "1"),
+        ("table_restored", "1"),
+        ("term_reclaimed", "1"),
+        ("unknown_grants_awaited", "1"),
+        ("table_restored", "1"),
+        ("request_ended", None),
+    ]
+    console = Console(record=True, file=StringIO())
+    report.render(console)
+    assert "previous=0 era=1 read=3 kept=i-7,i-9" in console.export_text()
+
+
+def test_no_restoration_is_explained_without_one(events):
+    assert explain_request("c4854c20a90493e9", events).describe_restoration() == ""
--- a/packages/router/plantaincart_router/direct/tests/test_restored_store.py
+++ b/packages/router/plantaincart_router/direct/tests/test_restored_store.py
@@ -302,3 +302,22 @@
     close(view, 1)
     view._adopt_routing_config(make_plan(version=4))
     assert view.routing_config.version == 5
+
+
+def test_log_shows_what_was_read_anew_and_kept(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        "plantaincart_router.direct.view.write_event",
+        lambda event, **fields: logged.append((event, fields)),
+    )
+    view, reader = make_view()
+    view._adopt_routing_config(make_plan(version=5))
+    read_upstreams(view, reader, 0, make_record("u1", born=2), make_record("u2"))
+    read_upstreams(view, reader, 1, make_record("u1", born=1), make_record("u3"))
+    close(view, 0, "a", "b")
+    close(view, 1, "b")
+    eras = {"previous": 0, "era": 1, "plan": 5}
+    assert [fields for event, fields in logged if event == "table_restored"] == [
+        {"table": "upstreams", "read": 2, "kept": ["u1", "u2"], **eras},
+        {"table": "operator", "read": 1, "kept": ["a"], **eras},
+    ]
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -94,17 +94,24 @@
         previous_era = self._eras.get(table)
         is_restored = previous_era is not None and view.era > previous_era
         self._eras[table] = view.era
-        if is_restored:
-            write_event(
-                "table_restored", table=table, previous=previous_era, era=view.era
-            )
         if table == self._reader.upstream_table:
-            self._replace_upstreams(view, known_until, is_restored)
+            kept = self._replace_upstreams(view, known_until, is_restored)
         else:
             if is_restored:
                 self._doubt_closures()
             self._closed_by_row.clear()
             self.change_table(table, view, known_until)
+            kept = sorted(self._unconfirmed_closures)
+        if is_restored:
+            write_event(
+                "table_restored",
+                table=table,
+                previous=previous_era,
+                era=view.era,
+                read=len(view.rows),
+                kept=kept,
+                plan=self.routing_config.version if self.routing_config else None,
+            )
         self._wake_waiters()
 
     def change_table(self, table: str, view: TableRows, known_until: float) -> None:
@@ -238,7 +245,8 @@
 
     def _replace_upstreams(
         self, view: TableRows, known_until: float, is_restored: bool
-    ) -> None:
+    ) -> list[str]:
+        """Apply all announcements; return the upstreams that don't follow their row."""
         records = [self._reader.read_upstream(row) for row in view.rows]
         valid_records = [record for record in records if record]
         previous = {record.id: record for record in self.directory}
@@ -249,6 +257,8 @@
         self._update_draining(previous, known_until)
         self.upstreams_loaded = True
         write_event("upstreams_read", count=len(self.directory))
+        read = {record.id: record for record in valid_records}
+        return [record.id for record in self.directory if read.get(record.id) != record]
 
     def _doubt_closures(self) -> None:
         until = monotonic() + CLOSURE_REWRITE_S
