--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -340,6 +340,7 @@
                 if feed.version is not None
             },
             leaving_upstreams=view.list_leaving(),
+            backed_off=view.backoffs.list_long(view.directory, monotonic()),
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -73,6 +73,9 @@
         Seconds for which the upstream keeps an idle connection, if it is stated.
     leaving : bool
         Whether the upstream states that it leaves.
+    retry_after_s : float
+        Seconds for which an upstream that rejected the request asks this instance to
+        send no further requests; 0 for none.
     """
 
     not_run: bool
@@ -81,6 +84,7 @@
     request_count: int | None
     idle_timeout_s: float | None
     leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 class HeaderCodec(ABC):
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -16,6 +16,7 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
 from plantaincart_router.http.message import HttpAnswer
+from plantaincart_router.log import write_event
 
 __all__ = ["UpstreamSender"]
 
@@ -108,6 +109,13 @@
         metadata = self._header_codec.read_answer(answer)
         self._record_leaving(record, metadata)
         now = monotonic()
+        if metadata.retry_after_s > 0.0:
+            self._view.backoffs.record(record, metadata.retry_after_s, now)
+            write_event(
+                "upstream_backoff",
+                upstream=record.id,
+                seconds=round(metadata.retry_after_s, 3),
+            )
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
         if metadata.not_run:
@@ -159,6 +167,10 @@
         try:
             if connection is None:
                 connection = await self._pools.open(record, call.remaining_s)
+                if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
+                    # Another request was rejected while the connection was opened.
+                    connection.close()
+                    raise NotRunError("the upstream asked for a pause", False, False)
             sent_at = monotonic()
             remaining_s = call.remaining_s
             request = self._header_codec.write_request(
