--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -30,7 +30,11 @@
     StoreUnavailableError,
     TableRows,
 )
-from plantaincart_router.exception import AnswerLostError, ConnectFailedError
+from plantaincart_router.exception import (
+    AnswerLostError,
+    AnswerTimeoutError,
+    ConnectFailedError,
+)
 from plantaincart_router.http.message import HttpAnswer, HttpRequest, find_header
 from plantaincart_schema.generated.direct import CoordinatorNotice
 
@@ -259,15 +263,26 @@
 
 
 class MemoryGrants(GrantCalls):
-    """Grant and release calls of one instance to in-memory upstreams."""
+    """
+    Grant and release calls of one instance to in-memory upstreams.
+
+    `disconnected` refuses all calls, `hanging` lets them time out, and
+    `refuses_connections` serves renewals alone, as they use kept connections.
+    """
 
     def __init__(self, upstreams, instance="router-1"):
         self.upstreams = upstreams
         self.instance = instance
         self.disconnected = False
+        self.hanging = False
+        self.refuses_connections = False
         self.calls = []
 
     async def grant(self, upstream, key_range, duration_s, handover="", renewal=False):
+        if self.hanging:
+            await self._hang(upstream, FAST.call_timeout_s)
+        if self.refuses_connections and not renewal:
+            raise ConnectFailedError(upstream.id)
         target = self._find_reachable(upstream)
         if renewal and self.instance not in target.connected:
             raise ConnectFailedError("no connection kept")
@@ -297,6 +312,10 @@
             raise AnswerLostError("lost")
 
     async def release(self, upstream, key_range):
+        if self.hanging:
+            await self._hang(upstream, FAST.release_timeout_s)
+        if self.refuses_connections:
+            raise ConnectFailedError(upstream.id)
         target = self._find_reachable(upstream)
         self.calls.append(("release", upstream.id, key_range, False))
         if target.displaced:
@@ -321,6 +340,15 @@
         await sleep(target.work_s)
         return f"handover-{upstream.id}"
 
+    async def _hang(self, upstream, timeout_s):
+        target = self.upstreams[upstream.id]
+        was_connected = self.instance in target.connected
+        target.connected.discard(self.instance)
+        await sleep(timeout_s)
+        if was_connected:
+            raise AnswerTimeoutError("silent")
+        raise ConnectFailedError(upstream.id)
+
     def _find_reachable(self, upstream):
         target = self.upstreams.get(upstream.id)
         if self.disconnected or target is None or not target.reachable:
