Notice and report that an instance reaches no upstream

Nothing told this state from upstreams that are down: no event, and no field of the members' reports.

Connects to several upstreams in several data centres that all fail, with none that succeeds since, now set `cut_off`. It stays set until a connect succeeds. While there is doubt, one upstream after the other is connected to, so that begin and end are noticed without requests. Events `upstreams_cut_off` and `upstreams_reached`, gauge `cut_off`; reports carry `cut_off` and `relay_address`, notices carry `relays`, all with defaults for builds of before. Nothing acts on the state yet.

--- a/packages/router/plantaincart_router/direct/connectfailures.py
+++ b/packages/router/plantaincart_router/direct/connectfailures.py
@@ -73,6 +73,11 @@
         self.record_success(record)
         self._closed_at.pop((record.id, record.born), None)
 
+    def clear(self) -> None:
+        """Remove all failures; upstreams that close connections at once stay known."""
+        self._failure_counts.clear()
+        self._next_attempt_at.clear()
+
     def begin_attempt(self, record: UpstreamRecord, now: float) -> None:
         """Make other requests wait while one connects to a failed upstream."""
         process = (record.id, record.born)
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -71,6 +71,9 @@
     ----------
     feeds : sequence of TableFeed
         Feeds of the tables that the coordinator relays; must be set before the start.
+    relay_address : str
+        Host and port at which this instance relays requests of others; empty if it
+        doesn't.
     coordinator : Coordinator or None
         Current term of this instance, if it is the coordinator.
     """
@@ -111,6 +114,9 @@
         self._task: Task[None] | None = None
         self.coordinator: Coordinator | None = None
         self.feeds: Sequence[TableFeed] = ()
+        self.relay_address = ""
+        # The notice that answers the report names the relays.
+        view.reachability.on_change = self._report
 
     def start(self, loop) -> None:  # type: ignore[no-untyped-def]
         """Accept reports of other instances, and start to look for the coordinator."""
@@ -339,6 +345,8 @@
                 for feed in self.feeds
                 if feed.version is not None
             },
+            cut_off=view.reachability.is_cut_off,
+            relay_address=self.relay_address,
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -11,6 +11,7 @@
 from plantaincart_router.direct.interface import Platform
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.reachabilityprobe import ReachabilityProbe
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.caller import CallerConnection
@@ -89,6 +90,7 @@
         self.follower.start(get_running_loop())
         self._tasks = [create_task(feed.follow()) for feed in self._feeds]
         self._tasks.append(create_task(self._run_maintenance()))
+        self._tasks.append(create_task(ReachabilityProbe(self._pools).run()))
         write_event(
             "started", data_centre=settings.data_centre, port=settings.front_port
         )
@@ -166,6 +168,10 @@
                 float(view.members),
             ),
             "coordinator": ("1 on the coordinator", float(coordinator is not None)),
+            "cut_off": (
+                "1 while no upstream can be connected to",
+                float(view.reachability.is_cut_off),
+            ),
             "ready": ("1 while callers should come here", float(self.is_ready)),
         }
 
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -20,6 +20,8 @@
 MAX_DURATION_S = 3600.0
 MAX_SLOWNESS = 1e4
 MAX_NAME_LENGTH = 255
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 def check_report(report: MemberReport) -> None:
@@ -46,6 +48,9 @@
     _check_range(report.slowness.values(), MAX_SLOWNESS, "slowness")
     _check_range([key.key for key in report.refusing], KEY_COUNT - 1, "refused key")
     _check(all(version >= 0 for version in report.tables.values()), "tables")
+    _check(
+        not report.relay_address or _is_address(report.relay_address), "relay_address"
+    )
 
 
 def check_notice(notice: CoordinatorNotice) -> None:
@@ -76,6 +81,7 @@
         "table versions",
     )
     _check(all(map(_is_key_range, notice.changes)), "key range")
+    _check(all(map(_is_address, notice.relays)), "relays")
 
 
 def _check_load(load: KeyLoad) -> None:
@@ -84,6 +90,12 @@
     _check_range(load.work_ms, MAX_WORK_MS, "work_ms")
 
 
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return bool(host) and is_port and 0 < int(port) <= MAX_PORT
+
+
 def _is_key_range(change: MapChange) -> bool:
     return 0 <= change.first <= change.last < KEY_COUNT
 
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -6,6 +6,7 @@
 from plantaincart_core.directory import UpstreamRecord
 
 from plantaincart_router.direct.connectfailures import ConnectFailures
+from plantaincart_router.direct.reachability import UpstreamReachability
 from plantaincart_router.direct.settings import SendSettings
 from plantaincart_router.exception import ConnectFailedError
 from plantaincart_router.http.exchange import HttpConnection
@@ -38,11 +39,14 @@
     ----------
     connect_failures : ConnectFailures
         Upstreams to which connecting failed recently.
+    reachability : UpstreamReachability
+        Whether this instance can connect to any upstream.
     """
 
     def __init__(self, settings: SendSettings) -> None:
         self._settings = settings
         self.connect_failures = ConnectFailures()
+        self.reachability = UpstreamReachability()
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
 
     def acquire_idle(
@@ -108,6 +112,9 @@
             )
         except ConnectFailedError:
             self.connect_failures.record_failure(record, monotonic())
+            is_cut_short = limit_s < self._settings.connect_timeout_s
+            if not is_cut_short or monotonic() - started_at < limit_s:
+                self.reachability.record_unreached(record, monotonic())
             raise
         check_s = CLOSED_AT_ONCE_S
         if not may_be_closed:
@@ -119,8 +126,13 @@
             raise
         if not connection.reusable:
             self.connect_failures.record_closed_at_once(record, monotonic())
+            self.reachability.record_closed_at_once(record, monotonic())
             raise ConnectFailedError(f"{record.host}:{record.port}: closed at once")
+        if self.reachability.is_cut_off:
+            # The failures of other upstreams were those of the way to them.
+            self.connect_failures.clear()
         self.connect_failures.record_success(record)
+        self.reachability.record_reached(record)
         return connection
 
     def return_connection(
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -169,9 +169,11 @@
                 request, remaining_s, None, self._make_answer_check(call)
             )
         except AnswerTimeoutError as error:
+            self._pools.reachability.record_lost()
             raise LostError(str(error), timed_out=True) from error
         except ExchangeError as error:
             if error.may_have_started:
+                self._pools.reachability.record_lost()
                 closed_at_once = (
                     is_new_connection and monotonic() - sent_at < CLOSED_AT_ONCE_S
                 )
@@ -183,6 +185,7 @@
                     )
                 raise LostError(str(error), closed_at_once=closed_at_once) from error
             raise NotRunError(str(error), False, False) from error
+        self._pools.reachability.record_answer(monotonic())
         idle_timeout_s = self._header_codec.read_answer(answer).idle_timeout_s
         self._pools.return_connection(record, connection, idle_timeout_s)
         return answer
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -54,14 +54,22 @@
 )
 
 
-def make_record(name, service="ledger", born=1, ready=True, warmup_left_s=0.0, port=1):
+def make_record(
+    name,
+    service="ledger",
+    born=1,
+    ready=True,
+    warmup_left_s=0.0,
+    port=1,
+    data_centre="a",
+):
     return UpstreamRecord(
         id=name,
         born=born,
         service=service,
         host="127.0.0.1",
         port=port,
-        data_centre="a",
+        data_centre=data_centre,
         slots=2,
         ready=ready,
         warmup_left_s=warmup_left_s,
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -52,6 +52,13 @@
         Parses the rows of operators and upstreams.
     pools : UpstreamPools
         Idle connections; those to an upstream that is gone are closed.
+
+    Attributes
+    ----------
+    reachability : UpstreamReachability
+        Whether this instance can connect to any upstream.
+    relays : tuple of str
+        Addresses of the relays that the coordinator named last.
     """
 
     def __init__(
@@ -71,6 +78,9 @@
         self.routing_config: RoutingConfiguration | None = None
         self.routes: RouteIndex | None = None
         self.directory = UpstreamDirectory()
+        self.reachability = pools.reachability
+        self.reachability.directory = self.directory
+        self.relays: tuple[str, ...] = ()
         self.upstreams_loaded = False
         self.owners: dict[str, OwnerMap] = {}
         self.unowned = UnownedRanges()
@@ -163,6 +173,8 @@
         """
         if notice.epoch < self.epoch:
             return False
+        if notice.relays:
+            self.relays = tuple(notice.relays)
         if notice.epoch > self.epoch and not notice.complete:
             return False
         self.epoch = notice.epoch
