Give the coordinator's role up when no upstream answers

It stayed in touch with store and members, so nobody replaced it, and all grants expired.

The granter now records the outcomes of its calls. If calls to nearly all upstreams have failed for a second, or no connection can be opened for as long, the coordinator resigns as in a planned stop, provided that a member isn't cut off, that the store answers, and that the term is as old as a grant, so that the role doesn't go round where all are cut off. Instances that are cut off wait for the others before they claim the role. Grants of the old term are counted by the successor as after any resignation.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -16,6 +16,7 @@
     TableChange,
 )
 
+from plantaincart_router.direct.cutoff import CutOffWatch
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
@@ -153,6 +154,14 @@
             self._reset_grant_duration,
             self._handle_reclaimed,
         )
+        self._cut_off_watch = CutOffWatch(
+            self._times,
+            self._term,
+            self._granter,
+            view.reachability,
+            self._members,
+            self._resign_without_upstreams,
+        )
         self._slowness_tracker = SlownessTracker()
         self._regranted_at: dict[tuple[str, int], float] = {}
         self._cached_map = (-1, float("-inf"), b"")
@@ -172,6 +181,11 @@
         """Epoch of the term."""
         return self._term.epoch
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this instance reaches no upstream, or reached none at the end."""
+        return self._granter.is_cut_off
+
     def start(self) -> None:
         """Start the tasks of the term."""
         write_event("term_started", epoch=self.epoch)
@@ -182,6 +196,7 @@
             create_task(self._run_guarded("renew_term", self._term.renew)),
             create_task(self._run_guarded("place", self._run_placement)),
             create_task(self._run_guarded("renew", self._granter.renew)),
+            create_task(self._run_guarded("watch_upstreams", self._cut_off_watch.run)),
         ]
 
     def end(self, reason: str) -> None:
@@ -204,10 +219,20 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
 
-    async def resign(self) -> bool:
+    async def _resign_without_upstreams(self) -> bool:
+        return await self.resign("no upstream is reachable", is_stopping=False)
+
+    async def resign(self, reason: str = "planned", is_stopping: bool = True) -> bool:
         """
         Mark the coordinator row as vacant, and end the term.
 
+        Parameters
+        ----------
+        reason : str
+            Reason that is logged.
+        is_stopping : bool
+            Whether this instance will stop soon.
+
         Returns
         -------
         bool
@@ -218,12 +243,13 @@
             vacated = await self._term.vacate()
         except StoreUnavailableError as error:
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
-            # No other instance can take over during the outage, so grants must stay
-            # valid for as long as possible after this instance has stopped.
-            self._granter.grant_duration_s = self._settings.bounds.max_hold_s
+            if is_stopping:
+                # No other instance can take over during the outage, so grants must stay
+                # valid for as long as possible after this instance has stopped.
+                self._granter.grant_duration_s = self._settings.bounds.max_hold_s
             return False
         if vacated:
-            self.end("planned")
+            self.end(reason)
         return self.ended
 
     def receive(self, report: MemberReport) -> None:
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -52,6 +52,12 @@
 # Seconds after a notice with an extended grant duration for which a successor assumes
 # that such grants may still be valid.
 LONG_GRANTS_MEMORY_S = 40.0
+# Seconds after the end of a term without upstreams for which an instance is taken to be
+# cut off from them.
+CUT_OFF_MEMORY_S = 5.0
+# Multiple of `weak_candidate_s` for which such a candidate waits for others. Those with
+# the fewest resources write the row after twice that time and a random delay.
+CUT_OFF_RELUCTANCE = 4.0
 
 
 class Follower:
@@ -104,6 +110,7 @@
         self._coordinator_resigned = False
         self._resigned_epoch = 0
         self._long_grants_at = float("-inf")
+        self._cut_off_until = float("-inf")
         self._probe = StoreProbe(
             self._times,
             platform.store,
@@ -165,6 +172,8 @@
 
     async def _step(self) -> None:
         if self.coordinator is not None and self.coordinator.ended:
+            if self.coordinator.is_cut_off:
+                self._cut_off_until = monotonic() + CUT_OFF_MEMORY_S
             self.coordinator = None
             self._row = None
             self._coordinator_resigned = False
@@ -240,13 +249,8 @@
 
     async def _claim(self) -> None:
         await sleep(self._random.random() * self._times.candidate_s)
-        shortage = self._settings.resources.shortage
-        if shortage > 0.0:
-            seen_version = self._row_version
-            await sleep(shortage * self._times.weak_candidate_s)
-            await self._read_row()
-            if self._row_version != seen_version:
-                return
+        if not await self._wait_for_better_candidates():
+            return
         old = self._row
         epoch = next_epoch(self._era, self._view.epoch, old.epoch if old else 0)
         row = CoordinatorRow(
@@ -285,6 +289,34 @@
         self.coordinator.start()
         self._report()
 
+    async def _wait_for_better_candidates(self) -> bool:
+        """
+        Wait for candidates that reach upstreams or have more resources.
+
+        Returns
+        -------
+        bool
+            Whether this instance should claim the term, since none of them has.
+        """
+        reluctance = self._settings.resources.shortage
+        if self._is_cut_off():
+            reluctance += CUT_OFF_RELUCTANCE
+        seen_version = self._row_version
+        remaining_s = reluctance * self._times.weak_candidate_s
+        while remaining_s > 0.0 and self._row_version == seen_version:
+            delay_s = min(remaining_s, self._times.weak_candidate_s)
+            remaining_s -= delay_s
+            await sleep(delay_s)
+            await self._read_row()
+        return self._row_version == seen_version and not self._leaving
+
+    def _is_cut_off(self) -> bool:
+        """Whether this instance reaches no upstream."""
+        if self.coordinator is not None and self.coordinator.is_cut_off:
+            return True
+        is_cut_off = self._view.reachability.is_cut_off
+        return is_cut_off or monotonic() < self._cut_off_until
+
     def _is_claimable(self, row: CoordinatorRow) -> bool:
         """Whether the term named by a row has certainly ended."""
         resigned = row.epoch == self._resigned_epoch
@@ -345,7 +377,7 @@
                 for feed in self.feeds
                 if feed.version is not None
             },
-            cut_off=view.reachability.is_cut_off,
+            cut_off=self._is_cut_off(),
             relay_address=self.relay_address,
         )
         if self.coordinator is not None:
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -1,19 +1,20 @@
 """Grant and release calls, renewal of grants, and the latest expiry of grants."""
 
 from asyncio import Lock, Task, create_task, sleep, timeout
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.ownermap import KeyRange
 
+from plantaincart_router.direct.calloutcome import CallOutcomes
 from plantaincart_router.direct.interface import (
     GrantCalls,
     GrantRefusedError,
     UpstreamDisplacedError,
 )
 from plantaincart_router.direct.settings import CoordinationSettings
-from plantaincart_router.exception import ExchangeError
+from plantaincart_router.exception import AnswerMalformedError, ExchangeError
 from plantaincart_router.log import write_event
 
 __all__ = ["Granter"]
@@ -49,6 +50,8 @@
         Grants whose renewal failed, so that they need a new fencing token.
     displaced_upstreams : list of UpstreamRecord
         Upstreams whose address is used by another process.
+    outcomes : CallOutcomes
+        Whether upstreams answer the calls.
 
     Notes
     -----
@@ -71,9 +74,15 @@
         self._locks: dict[tuple[str, int], Lock] = {}
         self.unrenewed: list[KeyRange] = []
         self.displaced_upstreams: list[UpstreamRecord] = []
+        self.outcomes = CallOutcomes(settings.cut_off_s)
         self.grant_duration_s = min(settings.hold_s, max_hold_s)
         self.enabled = True
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no upstream has answered for `cut_off_s`, though many were called."""
+        return self.outcomes.is_cut_off(self._list_owners(), monotonic())
+
     def grant_expiry(self, upstream: str, born: int) -> float:
         """Return the time by which all grants to a process have expired."""
         return self._grant_expiries.get((upstream, born), 0.0)
@@ -162,7 +171,7 @@
                 self.extend_grant_expiry(
                     *process, monotonic() + max_duration_s + margin_s
                 )
-                await self._calls.grant(
+                await self._call_upstream(
                     record, key_range, duration_s, handover, renewal
                 )
         except UpstreamDisplacedError:
@@ -187,6 +196,31 @@
         self._failure_counts.pop(process, None)
         return True
 
+    async def _call_upstream(
+        self,
+        record: UpstreamRecord,
+        key_range: KeyRange,
+        duration_s: float,
+        handover: str,
+        renewal: bool,
+    ) -> None:
+        """Make a grant call, and record whether the upstream answers."""
+        process, started_at = (record.id, record.born), monotonic()
+        self.outcomes.record_start(process)
+        try:
+            await self._calls.grant(record, key_range, duration_s, handover, renewal)
+        except (GrantRefusedError, AnswerMalformedError):
+            self.outcomes.record_answer()
+            raise
+        except ExchangeError:
+            self.outcomes.record_failure(process, started_at)
+            raise
+        self.outcomes.record_answer()
+
+    def _list_owners(self) -> Iterator[tuple[str, int]]:
+        for record, _ in self._renewed_grants.values():
+            yield record.id, record.born
+
     async def release(self, record: UpstreamRecord, key_range: KeyRange) -> str | None:
         """
         Release keys from their owner; retry until they are free.
@@ -207,7 +241,9 @@
         while self.enabled:
             try:
                 async with timeout(self._limit_release_time(record)):
-                    return await self._calls.release(record, key_range)
+                    handover = await self._calls.release(record, key_range)
+                    self.outcomes.record_answer()
+                    return handover
             except (ExchangeError, TimeoutError) as error:
                 write_event(
                     "release_failed",
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -176,6 +176,30 @@
             if name != excluded
         ]
 
+    def count_successors(self, excluded: str, now: float) -> int:
+        """
+        Count the members that can take over from a coordinator without upstreams.
+
+        Parameters
+        ----------
+        excluded : str
+            Name of the coordinator.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        int
+            Number of instances that go on running and aren't cut off themselves.
+        """
+        return sum(
+            name != excluded
+            and not member.report.leaving
+            and not member.report.cut_off
+            and now - member.last_report_at < self._times.silent_s
+            for name, member in self._members.items()
+        )
+
     def pack_loads(self, now: float) -> bytes:
         """
         Encode the number of requests in progress at each upstream, over all members.
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -326,6 +326,9 @@
         Timeout in seconds of a release call, which waits for requests in progress.
     clock_drift : float
         Fraction by which an upstream's clock may run slow.
+    cut_off_s : float
+        Seconds without an answer of any upstream after which the coordinator is taken
+        to be cut off from them. With a takeover, it must be below `hold_s`.
     hold_margin_s : float
         Seconds added to a grant's expiry before the keys of an unreachable upstream are
         taken to be free.
@@ -353,6 +356,7 @@
     call_timeout_s: float = 0.4
     release_timeout_s: float = 2.5
     clock_drift: float = 0.02
+    cut_off_s: float = 1.0
     hold_margin_s: float = 0.3
     rebalance_s: float = 0.4
     load_memory_s: float = 2.5
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -53,6 +53,7 @@
     renew_s=0.1,
     call_timeout_s=0.1,
     release_timeout_s=0.4,
+    cut_off_s=0.15,
     hold_margin_s=0.05,
     rebalance_s=0.05,
 )
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator_cut_off.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator_cut_off.py
@@ -5,9 +5,15 @@
 from time import monotonic
 
 import pytest
+from plantaincart_router.direct.calloutcome import FAILURE_MEMORY_S
 from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
+from plantaincart_router.direct.settings import (
+    CoordinationSettings,
+    ResourceSettings,
+)
 from plantaincart_router.direct.termrow import COORDINATOR_TABLE
-from plantaincart_router.direct.tests.fakes import FAST
+from plantaincart_router.direct.tests import fakes
+from plantaincart_router.direct.tests.fakes import FAST, make_record
 from plantaincart_router.direct.tests.memorysystem import (
     SAMPLE_KEYS,
     run_system,
@@ -27,6 +33,13 @@
     setattr(instance.grants, way, True)
 
 
+def report_cut_off(instance):
+    """Let connects to all upstreams fail, as they do for requests."""
+    for record in list(instance.view.directory):
+        instance.view.reachability.record_unreached(record, monotonic())
+    assert instance.view.reachability.is_cut_off
+
+
 def heal(instance):
     grants = instance.grants
     grants.disconnected = grants.hanging = grants.refuses_connections = False
@@ -180,3 +193,111 @@
         assert system.find_coordinator() not in (None, old)
         assert system.all_keys_owned()
         assert system.all_maps_agree()
+
+
+async def test_instances_that_are_cut_off_too_leave_the_role_to_others():
+    """Most instances were cut off with the coordinator; one claimed the role again."""
+    weak = ResourceSettings(cores=0.43, link_mbps=5.0)
+    names = ("r1", "r2", "r3", "r4", "r5")
+    async with run_system(get_running_loop(), names) as system, watch_owners(system):
+        sound = system.add("weak", get_running_loop(), weak)
+        await wait_for(system.all_maps_agree)
+        for name in names:
+            cut(system.instances[name], "hanging")
+            report_cut_off(system.instances[name])
+        await sleep(RECOVERY_S)
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree(), 0.2)
+        assert system.find_coordinator() is sound
+        assert await keeps_owners(system, CUT_S)
+
+
+async def test_role_stays_while_all_instances_report_that_they_are_cut_off():
+    async with run_system(get_running_loop()) as system, watch_owners(system):
+        epoch = read_epoch(system)
+        for instance in system.instances.values():
+            cut(instance, "hanging")
+            report_cut_off(instance)
+        await sleep(CUT_S)
+        assert read_epoch(system) == epoch
+        for instance in system.instances.values():
+            heal(instance)
+        await wait_for(
+            lambda: system.all_keys_owned() and system.all_maps_agree(), RECOVERY_S
+        )
+
+
+async def test_cut_off_instance_claims_a_role_that_nobody_else_claims():
+    async with run_system(get_running_loop(), ("r1", "r2")) as system:
+        for instance in system.instances.values():
+            report_cut_off(instance)
+        system.kill(system.find_coordinator().settings.name)
+        await wait_for(lambda: system.find_coordinator() is not None)
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree())
+
+
+async def test_coordinator_that_only_keeps_connections_gives_the_role_up():
+    """It can't grant keys anew to an upstream that has closed its connection."""
+    async with run_system(get_running_loop()) as system, watch_owners(system):
+        old = system.find_coordinator()
+        cut(old, "refuses_connections")
+        report_cut_off(old)
+        system.upstreams["u1"].connected.clear()
+        await sleep(RECOVERY_S)
+        assert system.find_coordinator() not in (None, old)
+        assert await keeps_owners(system, CUT_S)
+
+
+async def test_upstreams_that_restart_in_a_cut_get_keys_after_it():
+    """Failed calls to processes that are gone must not stop all moves for good."""
+    async with (
+        run_system(get_running_loop(), names=("r1",)) as system,
+        watch_owners(system),
+    ):
+        lone = system.find_coordinator()
+        cut(lone, "disconnected")
+        await sleep(CUT_S / 2)
+        for name, upstream in system.upstreams.items():
+            upstream.grants.clear()
+            upstream.highest_fences.clear()
+            lone.view.directory.put(make_record(name, born=2), monotonic())
+        await sleep(CUT_S / 2)
+        heal(lone)
+        await wait_for(
+            lambda: system.all_keys_owned() and system.all_maps_agree(),
+            FAILURE_MEMORY_S + RECOVERY_S,
+        )
+
+
+@pytest.mark.parametrize("way", ["disconnected", "hanging"])
+async def test_keys_have_owners_within_a_grant_duration_by_default(way, monkeypatch):
+    """With the default times, the cut is noticed before grants expire."""
+    times = CoordinationSettings()
+    monkeypatch.setattr(fakes, "FAST", times)
+    async with (
+        run_system(get_running_loop(), upstreams=26) as system,
+        watch_owners(system),
+    ):
+        # A coordinator that has just taken over doesn't resign yet.
+        await sleep(times.hold_s)
+        old = system.find_coordinator()
+        cut(old, way)
+        await sleep(times.hold_s)
+        assert system.find_coordinator() not in (None, old)
+        assert await keeps_owners(system, 1.5 * times.hold_s)
+
+
+@pytest.mark.parametrize("way", ["disconnected", "hanging"])
+async def test_no_key_has_two_owners_if_an_owner_is_lost_with_the_coordinator(way):
+    """The successor waits for grants that the resigned coordinator may have made."""
+    async with run_system(get_running_loop()) as system, watch_owners(system):
+        old = system.find_coordinator()
+        cut(old, way)
+        system.upstreams["u1"].reachable = False
+        await wait_for(lambda: system.find_coordinator() not in (None, old), RECOVERY_S)
+        lost = system.upstreams["u1"]
+        await wait_for(lambda: not any(map(lost.owns, SAMPLE_KEYS)), 2 * FAST.hold_s)
+        await wait_for(
+            lambda: system.all_keys_owned() and system.all_maps_agree(),
+            RECOVERY_S + FAST.confirmed_s + FAST.hold_s,
+        )
+        assert await keeps_owners(system, FAST.hold_s)
