Move no keys between upstreams that are all unreachable

Each move wrote the ownership row, and the keys had to wait for more grants to expire before they could move again.

While calls to nearly all upstreams fail, no move is planned; keys whose move had failed are granted to their owner again. Keys of single failing upstreams move as before.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -83,6 +83,11 @@
         """Whether no upstream has answered for `cut_off_s`, though many were called."""
         return self.outcomes.is_cut_off(self._list_owners(), monotonic())
 
+    @property
+    def seems_cut_off(self) -> bool:
+        """Whether calls to nearly all upstreams have failed since the last answer."""
+        return self.outcomes.seems_cut_off(self._list_owners())
+
     def grant_expiry(self, upstream: str, born: int) -> float:
         """Return the time by which all grants to a process have expired."""
         return self._grant_expiries.get((upstream, born), 0.0)
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -166,7 +166,11 @@
         self._registry.record_announced()
         planner = self._planner
         owners = planner.list_owners()
-        if not any(owner.accepts_keys for owner in owners.values()):
+        if self._granter.seems_cut_off or not any(
+            owner.accepts_keys for owner in owners.values()
+        ):
+            # Another upstream isn't reached either.
+            self._retry_failed_moves()
             return
         if self._moving or any(key_range.owner for key_range in self.owners):
             moves = planner.plan_unowned(self.owners, self._moving, owners)
@@ -178,6 +182,12 @@
         if moves:
             await self._carry_out(moves)
 
+    def _retry_failed_moves(self) -> None:
+        """Grant keys again to owners that didn't answer at the end of a move."""
+        failed_ranges = self._planner.failed_ranges.intersection(self.owners)
+        self._planner.failed_ranges.clear()
+        self.regrant(failed_ranges)
+
     def _is_rebalance_due(self) -> bool:
         now = monotonic()
         if now - self._rebalanced_at < self._settings.coordination.rebalance_s:
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -97,7 +97,10 @@
                 capacity=record.slots / slowness if may_work else NO_CAPACITY,
                 accepts_keys=may_work and not is_failing and not is_cold,
             )
-        if not any(owner.accepts_keys for owner in owners.values()):
+        if (
+            not any(owner.accepts_keys for owner in owners.values())
+            and not self._view.reachability.is_cut_off
+        ):
             # Without warm upstreams, keys go to cold ones.
             return {
                 name: replace(owner, accepts_keys=owner.capacity > NO_CAPACITY)
