--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -22,6 +22,8 @@
 MAX_NAME_LENGTH = 255
 # Some 8,900 years after 1970.
 MAX_BORN_MS = 2**48
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 def check_report(report: MemberReport) -> None:
@@ -50,6 +52,9 @@
     _check(all(version >= 0 for version in report.tables.values()), "tables")
     _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
     _check_range(map(len, report.backed_off), MAX_NAME_LENGTH, "backed_off")
+    _check(
+        not report.relay_address or _is_address(report.relay_address), "relay_address"
+    )
 
 
 def check_notice(notice: CoordinatorNotice) -> None:
@@ -80,6 +85,7 @@
         "table versions",
     )
     _check(all(map(_is_key_range, notice.changes)), "key range")
+    _check(all(map(_is_address, notice.relays)), "relays")
 
 
 def _check_load(load: KeyLoad) -> None:
@@ -88,6 +94,12 @@
     _check_range(load.work_ms, MAX_WORK_MS, "work_ms")
 
 
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return bool(host) and is_port and 0 < int(port) <= MAX_PORT
+
+
 def _is_key_range(change: MapChange) -> bool:
     return 0 <= change.first <= change.last < KEY_COUNT
 
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -110,6 +110,8 @@
         if not any(owner.accepts_keys for owner in owners.values()):
             if backed_off:
                 return self.list_owners(frozenset())
+            if self._view.reachability.is_cut_off:
+                return owners
             # Without warm upstreams, keys go to cold ones.
             return {
                 name: replace(owner, accepts_keys=owner.capacity > NO_CAPACITY)
