--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -46,15 +46,21 @@
         Store, header fields and upstream calls of the platform.
     ready_target : str
         Path of the readiness check.
+    pools : UpstreamPools, optional
+        Connections to upstreams; by default new pools with `settings.send`.
     """
 
     def __init__(
-        self, settings: DirectSettings, platform: Platform, ready_target: str
+        self,
+        settings: DirectSettings,
+        platform: Platform,
+        ready_target: str,
+        pools: UpstreamPools | None = None,
     ) -> None:
         self._settings = settings
         self._platform = platform
         self._ready_target = ready_target
-        self._pools = UpstreamPools(settings.send)
+        self._pools = pools or UpstreamPools(settings.send)
         self.view = SystemView(settings, platform.reader, self._pools)
         self.metrics = RouterMetrics(self._read_gauges)
         self.gateway = Gateway(
