Send requests through another instance while no upstream is reachable

Cause: an instance knew only its own connections to upstreams. An instance that is cut off sends its attempts through the relays that the coordinator has named; owner, admission, retries and limits are decided as before.

--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -14,9 +14,15 @@
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.relayserver import RelayHandler
+from plantaincart_router.direct.relaytransport import (
+    RelayTransport,
+    ReroutingTransport,
+)
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.transport import DirectTransport
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.caller import CallerConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
@@ -55,6 +61,13 @@
         Connections to upstreams.
     metrics : RouterMetrics
         Counters and histograms.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of callers in progress.
+    relay : RelayHandler
+        Handles requests of instances that are cut off from the upstreams.
     """
 
     def __init__(
@@ -73,12 +86,17 @@
         self._started_at = monotonic()
         self._budgets: dict[str, WindowRetryBudget] = {}
         cold_limiter = ColdUpstreamLimiter(settings.bounds)
+        direct = DirectTransport(pools, header_codec, settings.send)
+        relayed = RelayTransport(view, header_codec, settings.send, metrics)
+        self._pools = pools
+        self._transport = ReroutingTransport(direct, relayed, view)
         self._selector = UpstreamSelector(
-            settings, view, cold_limiter, pools.connect_failures, metrics
+            settings, view, cold_limiter, self._transport, metrics
         )
         self._sender = UpstreamSender(
-            settings, view, header_codec, pools, cold_limiter, self._selector, metrics
+            view, header_codec, self._transport, cold_limiter, self._selector, metrics
         )
+        self.relay = RelayHandler(view, header_codec, direct, metrics)
         self.in_flight = 0
 
     async def handle(
@@ -121,6 +139,10 @@
         finally:
             self.in_flight -= 1
 
+    def close(self) -> None:
+        """Close the connections to other instances."""
+        self._transport.close()
+
     async def _wait_for_configuration(
         self, metadata: RequestMetadata, started_at: float
     ) -> None:
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -1,6 +1,7 @@
 """One instance: its HTTP servers, table feeds, start and shutdown."""
 
-from asyncio import Task, create_task, get_running_loop, sleep
+from asyncio import Task, create_task, gather, get_running_loop, sleep
+from dataclasses import replace
 from time import monotonic
 
 from plantaincart_schema.generated.settings import EntrySettings
@@ -27,6 +28,7 @@
 # Seconds reserved at the end of the grace period for the exit of the process.
 EXIT_RESERVE_S = 0.3
 MAINTENANCE_INTERVAL_S = 0.25
+RELAY_HEAD_BYTES = 2048
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Limits on requests until a routing configuration is in force.
 INITIAL_LIMITS = EntrySettings(
@@ -67,6 +69,9 @@
             settings, self.view, platform.header_codec, self._pools, self.metrics
         )
         self._front_server = HttpServer(INITIAL_LIMITS, self.gateway.handle)
+        self._relay_server = HttpServer(
+            _allow_relay_fields(INITIAL_LIMITS), self.gateway.relay.handle
+        )
         self._ready_server = HttpServer(INITIAL_LIMITS, self._answer_ready)
         self._metrics_server = HttpServer(INITIAL_LIMITS, self._answer_metrics)
         self.follower = Follower(settings, self.view, platform)
@@ -93,6 +98,8 @@
         await self._front_server.start(settings.host, settings.front_port)
         await self._ready_server.start(settings.host, settings.ready_port)
         await self._metrics_server.start(settings.host, settings.metrics_port)
+        relay_port = await self._relay_server.start(settings.host, settings.relay_port)
+        self.follower.relay_address = f"{settings.host}:{relay_port}"
         self.follower.start(get_running_loop())
         self._tasks = [create_task(feed.follow()) for feed in self._feeds]
         self._tasks.append(create_task(self._run_maintenance()))
@@ -109,14 +116,16 @@
         withdrawal = create_task(self.follower.withdraw())
         self._tasks.append(withdrawal)
         self._front_server.end_keep_alive()
+        self._relay_server.end_keep_alive()
         grace_s = self._settings.bounds.shutdown_grace_s - EXIT_RESERVE_S
         await sleep(
             max(0.0, min(DRAIN_ACCEPT_S, grace_s / 2) - (monotonic() - started_at))
         )
-        open_connections = await self._front_server.drain(
-            grace_s - (monotonic() - started_at)
+        remaining_s = grace_s - (monotonic() - started_at)
+        open_connections, open_relays = await gather(
+            self._front_server.drain(remaining_s), self._relay_server.drain(remaining_s)
         )
-        write_event("stopped", connections=open_connections)
+        write_event("stopped", connections=open_connections, relays=open_relays)
         self.close()
 
     def close(self) -> None:
@@ -124,9 +133,11 @@
         for task in self._tasks:
             task.cancel()
         self._front_server.close()
+        self._relay_server.close()
         self._ready_server.close()
         self._metrics_server.close()
         self.follower.close()
+        self.gateway.close()
         self._pools.close()
         self._platform.store.close()
 
@@ -201,3 +212,16 @@
                     head_timeout_s=routing_config.limits.head_timeout_s,
                     idle_timeout_s=routing_config.limits.idle_timeout_s,
                 )
+                self._relay_server.limits = _allow_relay_fields(
+                    replace(
+                        INITIAL_LIMITS,
+                        max_head_bytes=routing_config.limits.max_head_bytes,
+                        max_body_bytes=routing_config.limits.max_body_bytes,
+                    )
+                )
+
+
+def _allow_relay_fields(limits: EntrySettings) -> EntrySettings:
+    """Allow heads that are longer by the fields between instances."""
+    max_head_bytes = limits.max_head_bytes + RELAY_HEAD_BYTES
+    return replace(limits, max_head_bytes=max_head_bytes)
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -12,6 +12,8 @@
 COUNTERS = {
     "requests": ("Requests ended", ("route", "status", "outcome")),
     "attempts": ("Requests sent to upstreams", ("service", "result")),
+    "relayed": ("Requests sent through another instance", ("outcome",)),
+    "relays": ("Requests sent to upstreams for other instances", ("outcome",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
 HISTOGRAMS = {
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -17,9 +17,9 @@
 
 from plantaincart_router.direct.call import Call, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
-from plantaincart_router.direct.connectfailures import ConnectFailures
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.transport import AttemptTransport
 from plantaincart_router.direct.view import SystemView
 
 __all__ = ["UpstreamSelector"]
@@ -45,8 +45,8 @@
         State of the system as this instance knows it.
     cold_limiter : ColdUpstreamLimiter
         Limits requests to cold upstreams.
-    connect_failures : ConnectFailures
-        Upstreams to which connecting failed recently.
+    transport : AttemptTransport
+        Tells to which upstreams connecting failed recently.
     metrics : RouterMetrics
         Counters and histograms.
     """
@@ -56,13 +56,13 @@
         settings: DirectSettings,
         view: SystemView,
         cold_limiter: ColdUpstreamLimiter,
-        connect_failures: ConnectFailures,
+        transport: AttemptTransport,
         metrics: RouterMetrics,
     ) -> None:
         self._settings = settings
         self._view = view
         self._cold_limiter = cold_limiter
-        self._connect_failures = connect_failures
+        self._transport = transport
         self._metrics = metrics
         self._random = Random()
         self._mean_work_s: dict[str, float] = {}
@@ -143,7 +143,7 @@
 
     def _check_reachable(self, call: Call, record: UpstreamRecord) -> None:
         """Reject a request if connecting to the owner of its key has just failed."""
-        retry_delay_s = self._connect_failures.retry_delay_s(record, monotonic())
+        retry_delay_s = self._transport.retry_delay_s(record, monotonic())
         if retry_delay_s > 0.0 and not call.failed_connects:
             detail = f"upstream {record.id} couldn't be reached a moment ago"
             raise self.refuse_unreachable(call, record, detail)
@@ -163,7 +163,7 @@
         detail : str
             Text for the log.
         """
-        retry_delay_s = self._connect_failures.retry_delay_s(record, monotonic())
+        retry_delay_s = self._transport.retry_delay_s(record, monotonic())
         return self.refuse_unserved(
             call,
             Reason.UPSTREAM_UNREACHABLE,
@@ -201,7 +201,7 @@
         reachable = [
             record
             for record in candidates
-            if self._connect_failures.retry_delay_s(record, now) <= 0.0
+            if self._transport.retry_delay_s(record, now) <= 0.0
         ]
         eligible = {
             record.id: record
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -1,6 +1,5 @@
 """A single attempt at an upstream, and the evaluation of its answer."""
 
-from collections.abc import Callable
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -10,11 +9,9 @@
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
-from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
 from plantaincart_router.direct.selector import UpstreamSelector
-from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.transport import Attempt, AttemptTransport
 from plantaincart_router.direct.view import SystemView
-from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
 from plantaincart_router.http.message import HttpAnswer
 
 __all__ = ["UpstreamSender"]
@@ -26,14 +23,12 @@
 
     Parameters
     ----------
-    settings : DirectSettings
-        Settings of the instance.
     view : SystemView
         State of the system as this instance knows it.
     header_codec : HeaderCodec
         Parses and writes the platform's header fields.
-    pools : UpstreamPools
-        Connections to upstreams.
+    transport : AttemptTransport
+        Sends the requests.
     cold_limiter : ColdUpstreamLimiter
         Counts requests to cold upstreams.
     selector : UpstreamSelector
@@ -44,18 +39,16 @@
 
     def __init__(
         self,
-        settings: DirectSettings,
         view: SystemView,
         header_codec: HeaderCodec,
-        pools: UpstreamPools,
+        transport: AttemptTransport,
         cold_limiter: ColdUpstreamLimiter,
         selector: UpstreamSelector,
         metrics: RouterMetrics,
     ) -> None:
-        self._settings = settings
         self._view = view
         self._header_codec = header_codec
-        self._pools = pools
+        self._transport = transport
         self._cold_limiter = cold_limiter
         self._selector = selector
         self._metrics = metrics
@@ -150,50 +143,18 @@
         )
 
     async def _exchange(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
-        settings = self._settings.send
-        max_silence_s = settings.keep_s if call.route.idempotent else settings.fresh_s
-        connection = self._pools.acquire_idle(record, max_silence_s)
-        is_new_connection = connection is None
-        sent_at = monotonic()
+        attempt = Attempt(
+            request=call.request,
+            request_id=call.metadata.request_id,
+            idempotent=call.route.idempotent,
+            deadline_at=call.deadline_at,
+        )
         try:
-            if connection is None:
-                connection = await self._pools.open(record, call.remaining_s)
-            sent_at = monotonic()
-            remaining_s = call.remaining_s
-            request = self._header_codec.write_request(
-                call.request, record.id, max(remaining_s, 0.001)
-            )
+            answer = await self._transport.exchange(attempt, record)
+        except LostError:
             call.attempts += 1
             call.sent = True
-            answer = await connection.exchange(
-                request, remaining_s, None, self._make_answer_check(call)
-            )
-        except AnswerTimeoutError as error:
-            self._pools.reachability.record_lost()
-            raise LostError(str(error), timed_out=True) from error
-        except ExchangeError as error:
-            if error.may_have_started:
-                self._pools.reachability.record_lost()
-                closed_at_once = (
-                    is_new_connection and monotonic() - sent_at < CLOSED_AT_ONCE_S
-                )
-                if closed_at_once:
-                    # The upstream has too many connections; other requests must wait
-                    # before they open more.
-                    self._pools.connect_failures.record_closed_at_once(
-                        record, monotonic()
-                    )
-                raise LostError(str(error), closed_at_once=closed_at_once) from error
-            raise NotRunError(str(error), False, False) from error
-        self._pools.reachability.record_answer(monotonic())
-        idle_timeout_s = self._header_codec.read_answer(answer).idle_timeout_s
-        self._pools.return_connection(record, connection, idle_timeout_s)
+            raise
+        call.attempts += 1
+        call.sent = True
         return answer
-
-    def _make_answer_check(self, call: Call) -> Callable[[HttpAnswer], bool]:
-        def belongs(answer: HttpAnswer) -> bool:
-            return self._header_codec.belongs_to_request(
-                answer, call.metadata.request_id
-            )
-
-        return belongs
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -373,6 +373,9 @@
         TCP ports for callers, for the readiness check and for peers.
     metrics_port : int
         TCP port for the metrics.
+    relay_port : int
+        TCP port for requests of instances that are cut off from the upstreams; 0 for a
+        free one.
     """
 
     name: str
@@ -382,6 +385,7 @@
     ready_port: int
     peer_port: int
     metrics_port: int = 9464
+    relay_port: int = 0
     bounds: BoundSettings = field(default_factory=BoundSettings)
     resources: ResourceSettings = field(default_factory=ResourceSettings)
     feed: FeedSettings = field(default_factory=FeedSettings)
--- a/packages/router/plantaincart_router/direct/tests/cutsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/cutsystem.py
@@ -91,10 +91,11 @@
         self._passes.set()
         self._writers = set()
         self._blocked = []
-        self.port = find_port()
+        self.port = 0
 
     async def start(self):
         self._server = await start_server(self._relay, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
 
     async def cut(self, connects, connections):
         """Let connects hang, be refused or reset; connections hang, be reset, live."""
--- a/packages/router/plantaincart_router/direct/tests/test_unserved.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unserved.py
@@ -217,7 +217,7 @@
         await sleep(0.3)
         assert (await call_gateway(gateway, remaining_s=2.0)).status == 200
         upstream.closes_connections = True
-        gateway._sender._pools.close()
+        gateway._pools.close()
         response = await call_gateway(gateway, remaining_s=2.0)
     assert (response.status, verdict(response)) == (503, "not-run")
 
@@ -229,11 +229,11 @@
     async with run_gateway(upstream, plan=plan) as (gateway, view):
         view.directory.put(make_record("u9", port=CLOSED_PORT), monotonic())
         unreachable = view.directory.get("u9")
-        gateway._selector._connect_failures.record_failure(unreachable, monotonic())
+        gateway._pools.connect_failures.record_failure(unreachable, monotonic())
         for at in range(5):
             response = await call_gateway(gateway, request_id=f"r{at}")
             assert response.status == 200
-            assert not gateway._selector._connect_failures.retry_delay_s(
+            assert not gateway._pools.connect_failures.retry_delay_s(
                 unreachable, monotonic() + 0.3
             )
 
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -0,0 +1,177 @@
+"""Transport of a single attempt to an upstream."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from time import monotonic
+
+from plantaincart_core.directory import UpstreamRecord
+
+from plantaincart_router.direct.call import LostError, NotRunError
+from plantaincart_router.direct.interface import HeaderCodec
+from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
+from plantaincart_router.direct.settings import SendSettings
+from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
+from plantaincart_router.http.exchange import HttpConnection
+from plantaincart_router.http.message import HttpAnswer, HttpRequest
+
+__all__ = ["Attempt", "AttemptTransport", "DirectTransport"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """
+    A request that is to be sent to an upstream once.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        Request of the caller.
+    request_id : str
+        Id of the request; empty if it has none.
+    idempotent : bool
+        Whether the request may run more than once.
+    deadline_at : float
+        Deadline as a time in seconds.
+    """
+
+    request: HttpRequest
+    request_id: str
+    idempotent: bool
+    deadline_at: float
+
+    @property
+    def remaining_s(self) -> float:
+        """Remaining time in seconds until the deadline."""
+        return self.deadline_at - monotonic()
+
+
+class AttemptTransport(ABC):
+    """Sends requests to upstreams, on a way that varies."""
+
+    @abstractmethod
+    def retry_delay_s(self, record: UpstreamRecord, now: float) -> float:
+        """Return the seconds for which no request should be sent to an upstream."""
+
+    @abstractmethod
+    async def exchange(self, attempt: Attempt, record: UpstreamRecord) -> HttpAnswer:
+        """
+        Send a request once.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The request.
+        record : UpstreamRecord
+            The upstream.
+
+        Returns
+        -------
+        HttpAnswer
+            Complete answer of the upstream.
+
+        Raises
+        ------
+        NotRunError
+            If the upstream certainly didn't receive the request.
+        LostError
+            If it may have run it.
+        """
+
+
+class DirectTransport(AttemptTransport):
+    """
+    Sends requests on connections of this instance to the upstreams.
+
+    Parameters
+    ----------
+    pools : UpstreamPools
+        Connections to upstreams.
+    header_codec : HeaderCodec
+        Parses and writes the platform's header fields.
+    settings : SendSettings
+        For how long idle connections are reused.
+    """
+
+    def __init__(
+        self, pools: UpstreamPools, header_codec: HeaderCodec, settings: SendSettings
+    ) -> None:
+        self._pools = pools
+        self._header_codec = header_codec
+        self._settings = settings
+
+    def retry_delay_s(self, record: UpstreamRecord, now: float) -> float:
+        """Return the seconds until the next attempt to connect to the upstream."""
+        return self._pools.connect_failures.retry_delay_s(record, now)
+
+    def acquire_idle(
+        self, attempt: Attempt, record: UpstreamRecord
+    ) -> HttpConnection | None:
+        """Remove an idle connection that a request may use from its pool."""
+        settings = self._settings
+        max_silence_s = settings.keep_s if attempt.idempotent else settings.fresh_s
+        return self._pools.acquire_idle(record, max_silence_s)
+
+    async def exchange(self, attempt: Attempt, record: UpstreamRecord) -> HttpAnswer:
+        """Send a request on an idle connection, or on a new one."""
+        connection = self.acquire_idle(attempt, record)
+        if connection is not None:
+            return await self.exchange_on(connection, attempt, record, False)
+        try:
+            connection = await self._pools.open(record, attempt.remaining_s)
+        except ExchangeError as error:
+            raise NotRunError(str(error), False, False) from error
+        return await self.exchange_on(connection, attempt, record, True)
+
+    async def exchange_on(
+        self,
+        connection: HttpConnection,
+        attempt: Attempt,
+        record: UpstreamRecord,
+        is_new: bool,
+    ) -> HttpAnswer:
+        """
+        Send a request on a connection, and return the connection to its pool.
+
+        Parameters
+        ----------
+        connection : HttpConnection
+            Connection to the upstream.
+        attempt : Attempt
+            The request.
+        record : UpstreamRecord
+            The upstream.
+        is_new : bool
+            Whether no request was sent on the connection before.
+        """
+        pools = self._pools
+        remaining_s = attempt.remaining_s
+        request = self._header_codec.write_request(
+            attempt.request, record.id, max(remaining_s, 0.001)
+        )
+        sent_at = monotonic()
+        try:
+            answer = await connection.exchange(
+                request,
+                remaining_s,
+                None,
+                lambda answer: self._header_codec.belongs_to_request(
+                    answer, attempt.request_id
+                ),
+            )
+        except AnswerTimeoutError as error:
+            pools.reachability.record_lost()
+            raise LostError(str(error), timed_out=True) from error
+        except ExchangeError as error:
+            if not error.may_have_started:
+                raise NotRunError(str(error), False, False) from error
+            pools.reachability.record_lost()
+            closed_at_once = is_new and monotonic() - sent_at < CLOSED_AT_ONCE_S
+            if closed_at_once:
+                # The upstream has too many connections; other requests must wait
+                # before they open more.
+                pools.connect_failures.record_closed_at_once(record, monotonic())
+            raise LostError(str(error), closed_at_once=closed_at_once) from error
+        pools.reachability.record_answer(monotonic())
+        idle_timeout_s = self._header_codec.read_answer(answer).idle_timeout_s
+        pools.return_connection(record, connection, idle_timeout_s)
+        return answer
