Test the reachability of upstreams only while nothing answers

Each lost answer and each failed connect started a test, that is a new connection. Upstreams that are slow for seconds make many answers late, and accept few connections. A single failure is now tested only if no upstream has answered for 0.3 s; in a cut there is none.

--- a/packages/router/plantaincart_router/direct/reachability.py
+++ b/packages/router/plantaincart_router/direct/reachability.py
@@ -1,6 +1,7 @@
 """Whether this instance can open connections to any upstream."""
 
 from collections.abc import Callable
+from time import monotonic
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 
@@ -18,6 +19,8 @@
 # Seconds after an answer for which the upstreams that close new connections at once are
 # taken to be busy, and idle connections are used while no new one can be opened.
 ANSWER_MEMORY_S = 1.0
+# Seconds without an answer after which a single failure is taken seriously.
+SILENCE_S = 0.3
 
 
 class UpstreamReachability:
@@ -70,8 +73,15 @@
 
     @property
     def is_doubtful(self) -> bool:
-        """Whether a connect or an exchange failed and no connect succeeded since."""
-        return self._exchange_lost or bool(self._unreached)
+        """
+        Whether it should be tested if any upstream can be connected to.
+
+        A failure of one upstream is no reason while others answer.
+        """
+        if self.is_cut_off or len(self._unreached) > 1:
+            return True
+        has_failed = self._exchange_lost or bool(self._unreached)
+        return has_failed and monotonic() - self._answered_at > SILENCE_S
 
     def is_answered(self, now: float) -> bool:
         """
--- a/packages/router/plantaincart_router/direct/tests/test_reachability.py
+++ b/packages/router/plantaincart_router/direct/tests/test_reachability.py
@@ -89,6 +89,18 @@
     assert not reachability.is_cut_off
 
 
+def test_failures_of_one_upstream_are_not_tested_while_others_answer():
+    """Each test opens a connection, and upstreams accept few (pattern srv_slow)."""
+    records = make_records()
+    reachability = make_reachability(records)
+    reachability.record_answer(monotonic())
+    reachability.record_lost()
+    reachability.record_unreached(records[0], monotonic())
+    assert not reachability.is_doubtful
+    reachability.record_unreached(records[1], monotonic())
+    assert reachability.is_doubtful
+
+
 def test_connections_count_as_answering_only_after_the_first_failure():
     """Connections that were open before the cut may hang."""
     records = make_records()
