--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -28,6 +28,7 @@
 # Seconds reserved at the end of the grace period for the exit of the process.
 EXIT_RESERVE_S = 0.3
 MAINTENANCE_INTERVAL_S = 0.25
+# Maximum size of the fields between instances in the head of a relayed request.
 RELAY_HEAD_BYTES = 2048
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Limits on requests until a routing configuration is in force.
--- a/packages/router/plantaincart_router/direct/tests/test_relayed_requests.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relayed_requests.py
@@ -121,6 +121,19 @@
     assert system.count_runs("r1") == 1
 
 
+async def test_relay_that_stops_answers_what_it_has():
+    """The relay gets SIGTERM while a relayed request runs (roll_term, core_cut)."""
+    async with run_cut_system(idempotent=False) as system:
+        await cut_off(system)
+        for upstream in system.upstreams:
+            upstream.work_s = 0.3
+        task = create_task(system.call("cut", "r1"))
+        await wait_for(lambda: system.count_runs("r1"))
+        stop_task = create_task(system.instances["whole"].stop())
+        assert (await task).status == 200
+        stop_task.cancel()
+
+
 async def test_relay_that_is_unreachable_is_replaced():
     """A relay has ended, and the coordinator hasn't noticed it yet (kill)."""
     async with run_cut_system(idempotent=False) as system:
