--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -110,8 +110,9 @@
 
     A store that was restored may have lost the latest ownership rows. A coordinator
     whose term goes on writes them again before its next move. One that has just been
-    elected doesn't know to whom its predecessor granted keys, so it grants none until
-    all those grants have expired.
+    elected doesn't know to whom its predecessor granted keys of a service without a row
+    of the present era, so it grants none until all those grants have expired. It does
+    the same if a row can't be decoded.
     """
 
     def __init__(
@@ -134,7 +135,12 @@
         self._store = store
         self._notify = notify
         self._feeds = feeds
-        self._granter = Granter(calls, self._times, settings.bounds.max_hold_s)
+        self._granter = Granter(
+            calls,
+            self._times,
+            settings.bounds.max_hold_s,
+            lambda: self._term.is_valid,
+        )
         self._normal_grant_duration_s = self._granter.grant_duration_s
         self._placements: dict[str, ServicePlacement] = {}
         self._row_versions: dict[str, int] = {}
@@ -160,6 +166,10 @@
         self._slowness_cached_at = float("-inf")
         self._resumed = False
         self._unwritten: set[str] = set()
+        # Services whose row was read and then written, or was first written, in this
+        # term; and rows of others that were found since.
+        self._adopted: set[str] = set()
+        self._unadopted_rows: dict[str, OwnershipRow] = {}
         self._tasks: list[Task[None]] = []
         self._flush_timer: TimerHandle | None = None
         self._decayed_at = monotonic()
@@ -211,17 +221,19 @@
         Returns
         -------
         bool
-            False if the store is unreachable. The term continues in that case, since no
-            other instance could claim the row.
+            False if the term continues since the store is unreachable.
         """
         try:
             vacated = await self._term.vacate()
         except StoreUnavailableError as error:
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
-            # No other instance can take over during the outage, so grants must stay
-            # valid for as long as possible after this instance has stopped.
-            self._granter.grant_duration_s = self._settings.bounds.max_hold_s
-            return False
+            # The write may have taken effect although its answer was lost.
+            await self._term.reread_row(str(error))
+            if self._term.is_store_lost_for_all:
+                # No other instance can take over during the outage, so grants must stay
+                # valid for as long as possible after this instance has stopped.
+                self._granter.grant_duration_s = self._settings.bounds.max_hold_s
+            return self.ended
         if vacated:
             self.end("planned")
         return self.ended
@@ -234,6 +246,8 @@
             self.end("a member reports a later epoch")
             return
         member = self._members.record_report(report, monotonic())
+        for upstream, born in report.leaving_upstreams.items():
+            self._view.record_leaving(upstream, born)
         self._process_loads(report)
         loads = None
         if self._members.needs_loads(member):
@@ -302,20 +316,38 @@
             OWNERSHIP_TABLE, stored, absent=list_later_eras(self._term.era)
         )
         self._unwritten.discard(service)
+        self._adopted.add(service)
 
     async def _resolve_conflict(self, service: str) -> None:
+        """Find the version that the row of a service has now."""
         view = await self._store.read(OWNERSHIP_TABLE)
-        for row in view.rows:
-            if row.key == service:
-                ownership = _read_ownership(row)
-                if ownership is not None and ownership.epoch > self.epoch:
-                    self.end("a later epoch wrote the ownership row")
-                    raise StoreUnavailableError(
-                        "term ended", may_have_taken_effect=False
-                    )
-                self._row_versions[service] = row.version
-                return
-        self._row_versions[service] = 0
+        row = next((row for row in view.rows if row.key == service), None)
+        self._row_versions[service] = 0 if row is None else row.version
+        ownership = None if row is None else self._decode_row(row)
+        if ownership is None:
+            return
+        write_event(
+            "ownership_row_conflict",
+            service=service,
+            epoch=self.epoch,
+            sequence=self._sequence,
+            found_epoch=ownership.epoch,
+            found_sequence=ownership.sequence,
+        )
+        if service not in self._adopted and ownership.epoch != self.epoch:
+            # The previous coordinator granted keys after this one had read the rows.
+            self._unadopted_rows[service] = ownership
+            raise StoreUnavailableError(
+                "row of an earlier term found", may_have_taken_effect=False
+            )
+
+    def _decode_row(self, row: StoreRow) -> OwnershipRow | None:
+        """Decode an ownership row; end the term if a later term wrote it."""
+        ownership = _read_ownership(row)
+        if ownership is not None and ownership.epoch > self.epoch:
+            self.end("a later epoch wrote the ownership row")
+            raise StoreUnavailableError("term ended", may_have_taken_effect=False)
+        return ownership
 
     async def _run_placement(self) -> None:
         while not self.ended:
@@ -328,38 +360,77 @@
             await sleep(PLACEMENT_INTERVAL_S)
 
     async def _resume(self) -> None:
-        view = await self._store.read(OWNERSHIP_TABLE)
-        rows = []
-        for row in view.rows:
-            self._row_versions[row.key] = row.version
-            ownership = _read_ownership(row)
-            if ownership is not None:
-                rows.append(ownership)
-        await self._wait_for_unknown_grants(rows)
-        for ownership in rows:
-            placement = self._add_placement(ownership.service)
-            placement.resume(ownership)
-            self._extend_grant_expiries(ownership)
-            # The new version makes later writes of the previous coordinator fail.
-            await self.write(ownership.service, placement.describe_row)
+        rows = await self._adopt_rows()
         for ownership in rows:
             self._placements[ownership.service].regrant_resumed()
         self._resumed = True
         self._map_history.invalidate_versions()
         write_event("placements_resumed", services=len(rows))
 
-    async def _wait_for_unknown_grants(self, rows: Sequence[OwnershipRow]) -> None:
-        """Wait until grants that a restored store has lost have expired."""
+    async def _adopt_rows(self) -> list[OwnershipRow]:
+        """Adopt the stored owners, in the state in which this term has written them."""
+        while True:
+            view = await self._store.read(OWNERSHIP_TABLE)
+            self._row_versions = {row.key: row.version for row in view.rows}
+            decoded = [self._decode_row(row) for row in view.rows]
+            rows = [ownership for ownership in decoded if ownership is not None]
+            await self._wait_for_unknown_grants(rows, None not in decoded)
+            try:
+                for ownership in rows:
+                    await self._adopt_row(ownership)
+            except StoreConflictError as error:
+                # The previous coordinator has moved keys since the rows were read.
+                write_event("ownership_rows_reread", epoch=self.epoch, error=str(error))
+                continue
+            return rows
+
+    async def _adopt_found_rows(self) -> None:
+        """Adopt rows of the previous coordinator that were found after the takeover."""
+        for service in list(self._unadopted_rows):
+            try:
+                await self._adopt_row(self._unadopted_rows[service])
+            except StoreConflictError:
+                await self._resolve_conflict(service)
+                continue
+            del self._unadopted_rows[service]
+            self._placements[service].regrant_resumed()
+
+    async def _adopt_row(self, ownership: OwnershipRow) -> None:
+        """
+        Adopt the owners of one service, and write them under this epoch.
+
+        The new version makes later writes of the previous coordinator fail.
+        """
+        placement = self._add_placement(ownership.service)
+        placement.resume(ownership)
+        self._extend_grant_expiries(ownership)
+        async with self._write_lock:
+            row = placement.describe_row(self.epoch, self._sequence)
+            await self._write_row(ownership.service, row)
+
+    async def _wait_for_unknown_grants(
+        self, rows: Sequence[OwnershipRow], all_readable: bool
+    ) -> None:
+        """Wait until grants that the rows don't show have expired."""
         era = self._term.era
-        is_complete = bool(rows) and all(
-            is_epoch_of_era(row.epoch, era) for row in rows
-        )
         wait_s = self._last_grant_expiry() - monotonic()
-        if era == 0 or is_complete or wait_s <= 0.0:
+        is_complete = all_readable and (era == 0 or self._covers_all_services(rows))
+        if is_complete or wait_s <= 0.0:
             return
         write_event("unknown_grants_awaited", era=era, wait_s=round(wait_s, 2))
         await sleep(wait_s)
 
+    def _covers_all_services(self, rows: Sequence[OwnershipRow]) -> bool:
+        """Whether each keyed service has a row that was written in the present era."""
+        routing_config = self._view.routing_config
+        if routing_config is None:
+            return False
+        keyed = {name for name, item in routing_config.services.items() if item.keyed}
+        written = {
+            row.service for row in rows if is_epoch_of_era(row.epoch, self._term.era)
+        }
+        return keyed <= written
+
     def _last_grant_expiry(self) -> float:
         """Return the time by which all grants of the previous term have expired."""
         times = self._times
@@ -392,6 +463,7 @@
         self._members.remove_silent(now)
         self._decay(now)
         self._view.expire()
+        await self._adopt_found_rows()
         for service in sorted(self._unwritten):
             await self.write(service, self._placements[service].describe_row)
         routing_config = self._view.routing_config
@@ -403,6 +475,8 @@
         )
         for record in displaced_upstreams:
             self._view.displace(record)
+        for record in self._granter.pop_leaving():
+            self._view.record_leaving(record.id, record.born)
         unrenewed, self._granter.unrenewed = self._granter.unrenewed, []
         for policy in routing_config.services.values():
             if not policy.keyed:
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -347,6 +347,7 @@
             },
             cut_off=view.reachability.is_cut_off,
             relay_address=self.relay_address,
+            leaving_upstreams=view.list_leaving(),
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -86,8 +86,10 @@
         self._started_at = monotonic()
         self._budgets: dict[str, WindowRetryBudget] = {}
         cold_limiter = ColdUpstreamLimiter(settings.bounds)
-        direct = DirectTransport(pools, header_codec, settings.send)
-        relayed = RelayTransport(view, header_codec, settings.send, metrics)
+        direct = DirectTransport(pools, header_codec, settings.send, view)
+        relayed = RelayTransport(
+            view, header_codec, settings.send, metrics, pools.buffers
+        )
         self._pools = pools
         self._transport = ReroutingTransport(direct, relayed, view)
         self._selector = UpstreamSelector(
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -22,6 +22,8 @@
 MAX_NAME_LENGTH = 255
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
+# Some 8,900 years after 1970.
+MAX_BORN_MS = 2**48
 
 
 def check_report(report: MemberReport) -> None:
@@ -51,6 +53,7 @@
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
+    _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
 
 
 def check_notice(notice: CoordinatorNotice) -> None:
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -9,6 +9,7 @@
 from plantaincart_router.direct.reachability import UpstreamReachability
 from plantaincart_router.direct.settings import SendSettings
 from plantaincart_router.exception import ConnectFailedError
+from plantaincart_router.http.answerbuffers import AnswerBuffers
 from plantaincart_router.http.exchange import HttpConnection
 
 __all__ = ["CLOSED_AT_ONCE_S", "UpstreamPools"]
@@ -33,7 +34,7 @@
     Parameters
     ----------
     settings : SendSettings
-        Timeouts for connecting and for idle connections.
+        Timeouts for connecting and for idle connections, and limits of answers.
 
     Attributes
     ----------
@@ -41,12 +42,17 @@
         Upstreams to which connecting failed recently.
     reachability : UpstreamReachability
         Whether this instance can connect to any upstream.
+    buffers : AnswerBuffers
+        Limits of incomplete answers.
     """
 
     def __init__(self, settings: SendSettings) -> None:
         self._settings = settings
         self.connect_failures = ConnectFailures()
         self.reachability = UpstreamReachability()
+        self.buffers = AnswerBuffers(
+            settings.max_answer_bytes, settings.max_buffered_bytes
+        )
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
 
     def acquire_idle(
@@ -108,7 +114,7 @@
         self.connect_failures.begin_attempt(record, started_at)
         try:
             connection = await HttpConnection.open(
-                record.host, record.port, limit_s, True
+                record.host, record.port, limit_s, True, self.buffers
             )
         except ConnectFailedError:
             self.connect_failures.record_failure(record, monotonic())
--- a/packages/router/plantaincart_router/direct/relaytransport.py
+++ b/packages/router/plantaincart_router/direct/relaytransport.py
@@ -21,9 +21,11 @@
     Attempt,
     AttemptTransport,
     DirectTransport,
+    check_drain_bound,
 )
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
+from plantaincart_router.http.answerbuffers import AnswerBuffers
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpAnswer
 
@@ -56,6 +58,8 @@
         Timeout for connecting.
     metrics : RouterMetrics
         Counters and histograms.
+    buffers : AnswerBuffers
+        Limits of incomplete answers, shared with the connections to upstreams.
 
     Notes
     -----
@@ -70,7 +74,9 @@
         header_codec: HeaderCodec,
         settings: SendSettings,
         metrics: RouterMetrics,
+        buffers: AnswerBuffers,
     ) -> None:
+        self._buffers = buffers
         self._view = view
         self._header_codec = header_codec
         self._settings = settings
@@ -129,6 +135,11 @@
         sent_at = monotonic()
         try:
             connection = await self._acquire(relay, attempt.remaining_s)
+            try:
+                check_drain_bound(self._view, record)
+            except NotRunError:
+                self._return_connection(relay, connection)
+                raise
             answer = await self._send(connection, attempt, record)
         except AnswerTimeoutError as error:
             # A relay that answers other requests waits for a slow upstream.
@@ -200,7 +211,9 @@
             connection.close()
         host, _, port = relay.rpartition(":")
         limit_s = min(remaining_s, self._settings.connect_timeout_s)
-        return await HttpConnection.open(host, int(port), limit_s)
+        return await HttpConnection.open(
+            host, int(port), limit_s, buffers=self._buffers
+        )
 
     def _return_connection(self, relay: str, connection: HttpConnection) -> None:
         idle = self._idle.setdefault(relay, [])
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -10,7 +10,11 @@
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.selector import UpstreamSelector
-from plantaincart_router.direct.transport import Attempt, AttemptTransport
+from plantaincart_router.direct.transport import (
+    Attempt,
+    AttemptTransport,
+    record_leaving,
+)
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.message import HttpAnswer
 
@@ -99,6 +103,7 @@
         finally:
             load.in_flight -= 1
         metadata = self._header_codec.read_answer(answer)
+        record_leaving(self._view, record, metadata)
         now = monotonic()
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
--- a/packages/router/plantaincart_router/direct/tests/test_reachability.py
+++ b/packages/router/plantaincart_router/direct/tests/test_reachability.py
@@ -118,7 +118,7 @@
     """A lost answer must suffice, long before the others have timed out as well."""
     opened = []
 
-    async def connect(host, port, timeout_s, accepts_unframed):
+    async def connect(host, port, timeout_s, accepts_unframed, buffers):
         if is_parted:
             await sleep(min(timeout_s, 0.3))
             raise ConnectFailedError("timeout")
--- a/packages/router/plantaincart_router/direct/tests/test_restored_store.py
+++ b/packages/router/plantaincart_router/direct/tests/test_restored_store.py
@@ -6,28 +6,40 @@
 earlier ones, and upstreams, configurations and closures that go back.
 """
 
-from asyncio import create_task, get_running_loop, sleep
+from asyncio import get_running_loop, sleep
 from dataclasses import replace
 from time import monotonic
 
-from plantaincart_core.era import is_epoch_of_era
+from plantaincart_core.era import is_epoch_of_era, next_epoch
 from plantaincart_core.keymove import KeyMove
+from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
-from plantaincart_router.direct.ownershiprow import decode_ownership
+from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.store import StoreRow, TableRows
+from plantaincart_router.direct.termrow import (
+    COORDINATOR_KEY,
+    COORDINATOR_TABLE,
+    make_era_rows,
+)
 from plantaincart_router.direct.tests.fakes import (
+    FAST,
+    Grant,
     PlainReader,
     make_plan,
     make_record,
     make_settings,
 )
 from plantaincart_router.direct.tests.memorysystem import (
-    SAMPLE_KEYS,
+    OwnerWatch,
+    System,
+    find_other_owner,
     run_system,
     wait_for,
 )
 from plantaincart_router.direct.view import CLOSURE_REWRITE_S, SystemView
+from plantaincart_schema.codec import encode_json
+from plantaincart_schema.generated.direct import CoordinatorRow, OwnershipRow
 from pytest import mark
 
 # Longer than the grant duration and the term of the fast settings together.
@@ -35,29 +47,6 @@
 OUTAGE_S = 0.5
 
 
-class OwnerWatch:
-    """Samples the owners of some keys while a system runs."""
-
-    def __init__(self, system):
-        self._system = system
-        self.two_owners = []
-        self.two_coordinators = 0
-        self._task = create_task(self._watch())
-
-    async def _watch(self):
-        while True:
-            self.two_owners += [
-                key for key in SAMPLE_KEYS if self._system.count_owners(key) > 1
-            ]
-            await sleep(0.005)
-
-    def stop(self):
-        self._task.cancel()
-        assert self.two_owners == []
-        for instance in self._system.instances.values():
-            assert instance.grants.outdated_tokens == 0
-
-
 async def move_keys(system, first, last, target):
     """Let the coordinator move keys, and wait until they have moved."""
     coordinator = system.find_coordinator().follower.coordinator
@@ -69,10 +58,6 @@
     await wait_for(lambda: system.upstreams[target].owns(first))
 
 
-def find_other_owner(system, key):
-    return next(name for name, item in system.upstreams.items() if not item.owns(key))
-
-
 def lose_processes_with_rows(system, names, copy):
     """Kill processes, restore the store, and start the processes again."""
     for name in names:
@@ -183,6 +168,39 @@
         watch.stop()
 
 
+async def test_row_of_one_service_is_lost_with_its_coordinator(monkeypatch):
+    """Guards against new owners of a service that has no row in a restored store."""
+    monkeypatch.setattr("plantaincart_router.direct.planner.SETTLE_S", 0.1)
+    system = System()
+    watch = OwnerWatch(system)
+    store, last = system.store, KEY_COUNT - 1
+    store.era = 1
+    epoch = next_epoch(1, 0, 0)
+    term = CoordinatorRow(
+        holder="lost", address="127.0.0.1:1", epoch=epoch, beat=1, vacant=False
+    )
+    store.put(COORDINATOR_TABLE, COORDINATOR_KEY, encode_json(term))
+    store.put(COORDINATOR_TABLE, make_era_rows(await store.read("none"))[0].key, b"1")
+    row = OwnershipRow(service="desk", epoch=epoch, sequence=1, ranges=[])
+    store.put(OWNERSHIP_TABLE, "desk", encode_ownership(row))
+    instance = system.add("r1", get_running_loop())
+    plan = make_plan()
+    desk = replace(plan.services["ledger"], name="desk")
+    instance.view.routing_config = replace(
+        plan, services={**plan.services, "desk": desk}
+    )
+    granted_s = FAST.confirmed_s + FAST.hold_s
+    system.upstreams["u0"].grants = [
+        Grant(first=0, last=last, fence=1, expires_at=monotonic() + granted_s)
+    ]
+    try:
+        await sleep(OBSERVED_S)
+        await wait_for(system.all_keys_owned, 8.0)
+        watch.stop()
+    finally:
+        instance.follower.close()
+
+
 class RowReader(PlainReader):
     """Reads upstreams and closures that a test has listed by key."""
 
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -7,14 +7,21 @@
 from plantaincart_core.directory import UpstreamRecord
 
 from plantaincart_router.direct.call import LostError, NotRunError
-from plantaincart_router.direct.interface import HeaderCodec
+from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
 from plantaincart_router.direct.settings import SendSettings
+from plantaincart_router.direct.view import SystemView
 from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 
-__all__ = ["Attempt", "AttemptTransport", "DirectTransport"]
+__all__ = [
+    "Attempt",
+    "AttemptTransport",
+    "DirectTransport",
+    "check_drain_bound",
+    "record_leaving",
+]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -90,11 +97,18 @@
         Parses and writes the platform's header fields.
     settings : SendSettings
         For how long idle connections are reused.
+    view : SystemView
+        State of the system, with the upstreams that leave.
     """
 
     def __init__(
-        self, pools: UpstreamPools, header_codec: HeaderCodec, settings: SendSettings
+        self,
+        pools: UpstreamPools,
+        header_codec: HeaderCodec,
+        settings: SendSettings,
+        view: SystemView,
     ) -> None:
+        self._view = view
         self._pools = pools
         self._header_codec = header_codec
         self._settings = settings
@@ -153,11 +167,12 @@
             answer = await connection.exchange(
                 request,
                 remaining_s,
-                None,
-                lambda answer: self._header_codec.belongs_to_request(
-                    answer, attempt.request_id
-                ),
+                lambda: check_drain_bound(self._view, record),
+                lambda answer: self._belongs(answer, attempt.request_id, record),
             )
+        except NotRunError:
+            connection.close()
+            raise
         except AnswerTimeoutError as error:
             pools.reachability.record_lost()
             raise LostError(str(error), timed_out=True) from error
@@ -172,6 +187,30 @@
                 pools.connect_failures.record_closed_at_once(record, monotonic())
             raise LostError(str(error), closed_at_once=closed_at_once) from error
         pools.reachability.record_answer(monotonic())
-        idle_timeout_s = self._header_codec.read_answer(answer).idle_timeout_s
-        pools.return_connection(record, connection, idle_timeout_s)
+        metadata = self._header_codec.read_answer(answer)
+        record_leaving(self._view, record, metadata)
+        pools.return_connection(record, connection, metadata.idle_timeout_s)
         return answer
+
+    def _belongs(
+        self, answer: HttpAnswer, request_id: str, record: UpstreamRecord
+    ) -> bool:
+        is_expected = self._header_codec.belongs_to_request(answer, request_id)
+        if not is_expected:
+            metadata = self._header_codec.read_answer(answer)
+            record_leaving(self._view, record, metadata)
+        return is_expected
+
+
+def check_drain_bound(view: SystemView, record: UpstreamRecord) -> None:
+    """Raise NotRunError if an upstream may get no more requests, since it leaves."""
+    if not view.is_within_drain_bound(record):
+        raise NotRunError(f"upstream {record.id} has left", False, False)
+
+
+def record_leaving(
+    view: SystemView, record: UpstreamRecord, metadata: AnswerMetadata
+) -> None:
+    """Record that an upstream said in its answer that it leaves, if it did."""
+    if metadata.leaving and metadata.answered_by in ("", record.id):
+        view.record_leaving(record.id, record.born)
