--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -42,15 +42,17 @@
         Upstreams to which connecting failed recently.
     reachability : UpstreamReachability
         Whether this instance can connect to any upstream.
+    buffers : AnswerBuffers
+        Limits of incomplete answers.
     """
 
     def __init__(self, settings: SendSettings) -> None:
         self._settings = settings
         self.connect_failures = ConnectFailures()
-        self._buffers = AnswerBuffers(
+        self.reachability = UpstreamReachability()
+        self.buffers = AnswerBuffers(
             settings.max_answer_bytes, settings.max_buffered_bytes
         )
-        self.reachability = UpstreamReachability()
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
 
     def acquire_idle(
@@ -112,7 +114,7 @@
         self.connect_failures.begin_attempt(record, started_at)
         try:
             connection = await HttpConnection.open(
-                record.host, record.port, limit_s, True, self._buffers
+                record.host, record.port, limit_s, True, self.buffers
             )
         except ConnectFailedError:
             self.connect_failures.record_failure(record, monotonic())
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -1,6 +1,5 @@
 """A single attempt at an upstream, and the evaluation of its answer."""
 
-from collections.abc import Callable
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -10,13 +9,14 @@
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
-from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
 from plantaincart_router.direct.selector import UpstreamSelector
-from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.transport import (
+    Attempt,
+    AttemptTransport,
+    record_leaving,
+)
 from plantaincart_router.direct.view import SystemView
-from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
 from plantaincart_router.http.message import HttpAnswer
-from plantaincart_router.log import write_event
 
 __all__ = ["UpstreamSender"]
 
@@ -27,14 +27,12 @@
 
     Parameters
     ----------
-    settings : DirectSettings
-        Settings of the instance.
     view : SystemView
         State of the system as this instance knows it.
     header_codec : HeaderCodec
         Parses and writes the platform's header fields.
-    pools : UpstreamPools
-        Connections to upstreams.
+    transport : AttemptTransport
+        Sends the requests.
     cold_limiter : ColdUpstreamLimiter
         Counts requests to cold upstreams.
     selector : UpstreamSelector
@@ -45,18 +43,16 @@
 
     def __init__(
         self,
-        settings: DirectSettings,
         view: SystemView,
         header_codec: HeaderCodec,
-        pools: UpstreamPools,
+        transport: AttemptTransport,
         cold_limiter: ColdUpstreamLimiter,
         selector: UpstreamSelector,
         metrics: RouterMetrics,
     ) -> None:
-        self._settings = settings
         self._view = view
         self._header_codec = header_codec
-        self._pools = pools
+        self._transport = transport
         self._cold_limiter = cold_limiter
         self._selector = selector
         self._metrics = metrics
@@ -107,15 +103,8 @@
         finally:
             load.in_flight -= 1
         metadata = self._header_codec.read_answer(answer)
-        self._record_leaving(record, metadata)
+        record_leaving(self._view, record, metadata)
         now = monotonic()
-        if metadata.retry_after_s > 0.0:
-            self._view.backoffs.record(record, metadata.retry_after_s, now)
-            write_event(
-                "upstream_backoff",
-                upstream=record.id,
-                seconds=round(metadata.retry_after_s, 3),
-            )
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
         if metadata.not_run:
@@ -159,74 +148,18 @@
         )
 
     async def _exchange(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
-        settings = self._settings.send
-        max_silence_s = settings.keep_s if call.route.idempotent else settings.fresh_s
-        connection = self._pools.acquire_idle(record, max_silence_s)
-        is_new_connection = connection is None
-        sent_at = monotonic()
+        attempt = Attempt(
+            request=call.request,
+            request_id=call.metadata.request_id,
+            idempotent=call.route.idempotent,
+            deadline_at=call.deadline_at,
+        )
         try:
-            if connection is None:
-                connection = await self._pools.open(record, call.remaining_s)
-                if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
-                    # Another request was rejected while the connection was opened.
-                    connection.close()
-                    raise NotRunError("the upstream asked for a pause", False, False)
-            sent_at = monotonic()
-            remaining_s = call.remaining_s
-            request = self._header_codec.write_request(
-                call.request, record.id, max(remaining_s, 0.001)
-            )
+            answer = await self._transport.exchange(attempt, record)
+        except LostError:
             call.attempts += 1
             call.sent = True
-            answer = await connection.exchange(
-                request,
-                remaining_s,
-                lambda: self._check_drain_bound(record),
-                self._make_answer_check(call, record),
-            )
-        except NotRunError:
-            if connection is not None:
-                connection.close()
             raise
-        except AnswerTimeoutError as error:
-            self._pools.reachability.record_lost()
-            raise LostError(str(error), timed_out=True) from error
-        except ExchangeError as error:
-            if error.may_have_started:
-                self._pools.reachability.record_lost()
-                closed_at_once = (
-                    is_new_connection and monotonic() - sent_at < CLOSED_AT_ONCE_S
-                )
-                if closed_at_once:
-                    # The upstream has too many connections; other requests must wait
-                    # before they open more.
-                    self._pools.connect_failures.record_closed_at_once(
-                        record, monotonic()
-                    )
-                raise LostError(str(error), closed_at_once=closed_at_once) from error
-            raise NotRunError(str(error), False, False) from error
-        self._pools.reachability.record_answer(monotonic())
-        idle_timeout_s = self._header_codec.read_answer(answer).idle_timeout_s
-        self._pools.return_connection(record, connection, idle_timeout_s)
+        call.attempts += 1
+        call.sent = True
         return answer
-
-    def _check_drain_bound(self, record: UpstreamRecord) -> None:
-        if not self._view.is_within_drain_bound(record):
-            raise NotRunError(f"upstream {record.id} has left", False, False)
-
-    def _record_leaving(self, record: UpstreamRecord, metadata: AnswerMetadata) -> None:
-        if metadata.leaving and metadata.answered_by in ("", record.id):
-            self._view.record_leaving(record.id, record.born)
-
-    def _make_answer_check(
-        self, call: Call, record: UpstreamRecord
-    ) -> Callable[[HttpAnswer], bool]:
-        def belongs(answer: HttpAnswer) -> bool:
-            is_expected = self._header_codec.belongs_to_request(
-                answer, call.metadata.request_id
-            )
-            if not is_expected:
-                self._record_leaving(record, self._header_codec.read_answer(answer))
-            return is_expected
-
-        return belongs
