Decode answers with a length in one step

Decoding in steps, which bounds what the parser takes in at once, copied long bodies once more. Steps are needed for heads, chunks and trailers only: a body with a length is decoded as it comes, after its head, and the bytes are passed on as views.

--- a/packages/router/plantaincart_router/http/codec.py
+++ b/packages/router/plantaincart_router/http/codec.py
@@ -42,10 +42,10 @@
 # Received bytes that aren't part of the body (heads, chunk lines, trailers), beyond as
 # many as the body has. Chunks of single bytes take five such bytes each.
 MAX_FRAMING_BYTES = 262144
-# Bytes that are parsed at once. A parser of whole heads and trailers checks their size
-# only after it has taken in all bytes that it was given.
-HEAD_STEP_BYTES = 16384
-BODY_STEP_BYTES = 65536
+# Bytes that are parsed at once, except for a body with a length. A parser of whole
+# heads, chunks and trailers checks their size only after all bytes that it was given.
+STEP_BYTES = 16384
+HEAD_END = b"\r\n\r\n"
 
 
 class ClientCodec:
@@ -94,6 +94,7 @@
         self._received_bytes = 0
         self._head_lines = 0
         self._interim_answers = 0
+        self._is_chunked = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -162,10 +163,11 @@
         start = 0
         try:
             while start < len(data):
-                step = HEAD_STEP_BYTES if self._head is None else BODY_STEP_BYTES
-                part = data[start : start + step]
-                start += step
-                self._http.receive_data(part)
+                end = self._choose_step_end(data, start)
+                # A view, since a copy of a long body takes longer than its parsing.
+                part = memoryview(data)[start:end]
+                start = end
+                self._http.receive_data(cast(bytes, part))
                 answer = self._read_events()
                 if answer is not None:
                     self._keep_rest(data[start:])
@@ -249,11 +251,21 @@
             elif kind is EndOfMessage:
                 return self._finish(cast(Response, self._head))
 
-    def _check_size(self, part: bytes) -> None:
+    def _choose_step_end(self, data: bytes, start: int) -> int:
+        """Return the index in received bytes up to which they are parsed next."""
+        step_end = start + STEP_BYTES
+        if step_end >= len(data):
+            return len(data)
+        if self._head is None:
+            head_end = data.find(HEAD_END, start, step_end)
+            return step_end if head_end < 0 else head_end + len(HEAD_END)
+        return step_end if self._is_chunked else len(data)
+
+    def _check_size(self, part: memoryview) -> None:
         """Check the bytes of an incomplete answer that aren't part of its body."""
         self._received_bytes += len(part)
         if self._head is None:
-            self._head_lines += part.count(b"\n")
+            self._head_lines += part.tobytes().count(b"\n")
             if self._head_lines > MAX_HEAD_LINES:
                 raise self._make_size_error(f"head above {MAX_HEAD_LINES} lines")
         body_bytes = len(self._body)
@@ -273,16 +285,20 @@
         if self._method == "HEAD" or head.status_code in BODILESS_STATUSES:
             return
         fields = dict(head.headers)
+        self._is_chunked = b"transfer-encoding" in fields
         length = fields.get(b"content-length")
         if length is not None and int(length) > self._max_answer_bytes:
             raise self._make_size_error(f"answer above {self._max_answer_bytes} bytes")
         if self._accepts_unframed or length is not None:
             return
-        if b"transfer-encoding" not in fields:
+        if not self._is_chunked:
             raise AnswerLostError(f"{self._address}: answer without length")
 
     def _add_data(self, data: bytes) -> None:
-        self._body += data
+        if self._body:
+            self._body += data
+        else:
+            self._body = bytearray(data) if isinstance(data, bytes) else data
         if len(self._body) > self._max_answer_bytes:
             raise self._make_size_error(f"answer above {self._max_answer_bytes} bytes")
 
