Use no owners of a store that was restored since the term was claimed

Cause: a new coordinator that claimed its term just before a restoration read the owners just after it, took them for the latest and wrote them under its epoch. Evidence: test_store_is_restored_between_the_claim_and_the_read_of_the_owners failed in 4 of 4 runs on the code before, passed in 3 of 3 after it. Why it works: rows of a later era than the term's aren't read; the term is claimed anew in that era first, or ends.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -36,6 +36,7 @@
     StoreConflictError,
     StoreRow,
     StoreUnavailableError,
+    TableRows,
 )
 from plantaincart_router.direct.term import Term
 from plantaincart_router.direct.termrow import list_later_eras
@@ -348,7 +349,7 @@
 
     async def _resolve_conflict(self, service: str) -> None:
         """Find the version that the row of a service has now."""
-        view = await self._store.read(OWNERSHIP_TABLE)
+        view = await self._read_ownership_table()
         row = next((row for row in view.rows if row.key == service), None)
         self._row_versions[service] = 0 if row is None else row.version
         ownership = None if row is None else self._decode_row(row)
@@ -369,6 +370,15 @@
                 "row of an earlier term found", may_have_taken_effect=False
             )
 
+    async def _read_ownership_table(self) -> TableRows:
+        """Read the table, unless the store was restored since the term was claimed."""
+        view = await self._store.read(OWNERSHIP_TABLE)
+        if view.era > self._term.era:
+            raise StoreUnavailableError(
+                f"the store was restored, era {view.era}", may_have_taken_effect=False
+            )
+        return view
+
     def _decode_row(self, row: StoreRow) -> OwnershipRow | None:
         """Decode an ownership row; end the term if a later term wrote it."""
         ownership = _read_ownership(row)
@@ -398,7 +408,7 @@
     async def _adopt_rows(self) -> list[OwnershipRow]:
         """Adopt the stored owners, in the state in which this term has written them."""
         while True:
-            view = await self._store.read(OWNERSHIP_TABLE)
+            view = await self._read_ownership_table()
             self._row_versions = {row.key: row.version for row in view.rows}
             decoded = [self._decode_row(row) for row in view.rows]
             rows = [ownership for ownership in decoded if ownership is not None]
