Count a term from the begin of the call that claimed it

Cause: a term counted as confirmed from when its claim was answered. A slow store answers late, and a successor counts from when it first read the row. Why it works: as with renewals, the time before the call is sent is the earliest at which others can have seen its effect.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -91,6 +91,8 @@
         Version of that row.
     era : int
         Era of the store in which the row was written.
+    claimed_at : float
+        Boot time in seconds at which the call that wrote the row began.
     notify : callable
         Sends a notice to the member with a given name.
     feeds : sequence of TableFeed
@@ -129,6 +131,7 @@
         term: CoordinatorRow,
         version: int,
         era: int,
+        claimed_at: float,
         notify: Callable[[str, CoordinatorNotice], None],
         feeds: Sequence[TableFeed],
         previous_renewed_at: float,
@@ -159,6 +162,7 @@
             term,
             version,
             era,
+            claimed_at,
             self._members,
             self.end,
             self._reset_grant_duration,
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -16,6 +16,7 @@
 )
 from zmq import DEALER, ROUTER, Context
 
+from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.interface import Platform
@@ -261,6 +262,7 @@
             vacant=False,
         )
         stored = make_term_row(row, self._row_version)
+        claimed_at = read_boot_time()
         try:
             version = await self._platform.store.write(
                 COORDINATOR_TABLE,
@@ -281,6 +283,7 @@
             row,
             version,
             self._era,
+            claimed_at,
             self._notify,
             self.feeds,
             previous_renewed_at=self._row_changed_at,
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -53,6 +53,8 @@
         Version of the row.
     era : int
         Era of the store in which the row was written.
+    claimed_at : float
+        Boot time in seconds at which the call that wrote the row began.
     members : Membership
         Instances that report whether the store answers them.
     end_term : callable
@@ -90,6 +92,7 @@
         row: CoordinatorRow,
         version: int,
         era: int,
+        claimed_at: float,
         members: Membership,
         end_term: Callable[[str], None],
         on_confirmed: Callable[[], None],
@@ -108,11 +111,12 @@
         self._is_rechecking = False
         self._lasts_through_outage = False
         self._suspension_monitor = SuspensionMonitor()
-        self._confirmed_at = self._verified_at = read_boot_time()
+        self._confirmed_at = self._verified_at = claimed_at
         self._resumed_at = float("-inf")
         self._last_error = "no answer yet"
         self._expiry_timer = ReschedulableTimeout(get_running_loop(), self._check)
-        self._expiry_timer.set(times.confirmed_s)
+        remaining_s = claimed_at + times.confirmed_s - read_boot_time()
+        self._expiry_timer.set(max(0.0, remaining_s))
         self._closed = False
         self.era = era
         self.store_unreachable = False
--- a/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
+++ b/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from time import monotonic, process_time
 
+from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.noticecodec import pack_notice
 from plantaincart_router.direct.pool import UpstreamPools
@@ -51,6 +52,7 @@
         row,
         version,
         0,
+        read_boot_time(),
         notify,
         [],
         previous_renewed_at=monotonic(),
--- a/packages/router/plantaincart_router/direct/tests/test_term.py
+++ b/packages/router/plantaincart_router/direct/tests/test_term.py
@@ -3,6 +3,7 @@
 from asyncio import create_task, sleep
 from time import monotonic
 
+from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.membership import Membership
 from plantaincart_router.direct.store import StoreUnavailableError
 from plantaincart_router.direct.term import Term
@@ -57,6 +58,7 @@
             row,
             0,
             0,
+            read_boot_time(),
             self.members,
             self.end,
             lambda: None,
