Name relays to the instances that are cut off from all upstreams

Cause: the coordinator never named relays in its notices, so instances that were cut off knew none; the tests of relayed requests set them by hand. Why it works: the notice that answers a report of an instance that is cut off names up to four members that reach upstreams, in the same data centre where there are several.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -574,7 +574,10 @@
         changes: list[MapChange] | None = []
         slowness: dict[str, float] = {}
         tables: list[TableChange] = []
+        relays: list[str] = []
         if member is not None:
+            if member.report.cut_off:
+                relays = self._members.choose_relays(name, monotonic())
             if self._resumed:
                 changes = self._map_history.list_since(
                     member.find_map_version(self.epoch)
@@ -598,6 +601,7 @@
             loads=loads,
             slowness=slowness,
             tables=tables,
+            relays=relays,
             removals_wait_s=self._view.directory.removal_delay_s(monotonic()),
         )
 
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -384,6 +384,7 @@
             backed_off=view.backoffs.list_long(view.directory, monotonic()),
             cut_off=self._is_cut_off(),
             relay_address=self.relay_address,
+            data_centre=settings.data_centre,
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -19,6 +19,10 @@
 # Seconds per member for which the encoded loads are reused: 0.1 s with 100 members, so
 # that they are encoded ten times a second.
 LOADS_CACHE_S_PER_MEMBER = 0.001
+# Maximum number of relays that an instance is told. From the second number of relays in
+# its own data centre on, it is told no others.
+MAX_RELAYS = 4
+MIN_LOCAL_RELAYS = 2
 # Seconds after which a change is sent again if the member hasn't confirmed it.
 RESEND_S = 0.6
 
@@ -185,6 +189,34 @@
         for member in self._members.values():
             member.has_current_silence = False
 
+    def choose_relays(self, name: str, now: float) -> list[str]:
+        """
+        Choose instances that can relay the requests of one that is cut off.
+
+        Parameters
+        ----------
+        name : str
+            Name of the instance that is cut off.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        list of str
+            Host and port of each relay, those in the same data centre if there are
+            several. Instances with neighbouring ranks are told different ones.
+        """
+        names = self.list_names()
+        rank = self.find_rank(name)
+        members = [self._members[other] for other in names[rank:] + names[:rank]]
+        able = [member.report for member in members if self._may_take_over(member, now)]
+        able = [report for report in able if report.relay_address]
+        own = self._members[name].report.data_centre
+        local = [report for report in able if report.data_centre == own]
+        remote = [report for report in able if report.data_centre != own]
+        chosen = local if len(local) >= MIN_LOCAL_RELAYS else local + remote
+        return [report.relay_address for report in chosen[:MAX_RELAYS]]
+
     def count_backoffs(self) -> Counter[str]:
         """Count the members that each upstream has asked for a long pause."""
         return Counter(
@@ -210,11 +242,16 @@
             Number of instances that go on running and aren't cut off themselves.
         """
         return sum(
-            name != excluded
-            and not member.report.leaving
+            name != excluded and self._may_take_over(member, now)
+            for name, member in self._members.items()
+        )
+
+    def _may_take_over(self, member: Member, now: float) -> bool:
+        """Whether a member reported lately that it reaches upstreams and stays."""
+        return (
+            not member.report.leaving
             and not member.report.cut_off
             and now - member.last_report_at < self._times.silent_s
-            for name, member in self._members.items()
         )
 
     def pack_loads(self, now: float) -> bytes:
