Count grants from the last notice of a coordinator in an outage

Cause: a successor dates its predecessor's last grants by the last change of the term's row. Why it works: a coordinator that doesn't reach the store says so in its notices; the last of these bounds when it can have acted.

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -111,6 +111,7 @@
         self._coordinator_resigned = False
         self._resigned_epoch = 0
         self._long_grants_at = float("-inf")
+        self._outage_notice_at = float("-inf")
         self._cut_off_until = float("-inf")
         self._probe = StoreProbe(
             self._times,
@@ -286,7 +287,8 @@
             claimed_at,
             self._notify,
             self.feeds,
-            previous_renewed_at=self._row_changed_at,
+            # In an outage the coordinator acts although its row doesn't change.
+            previous_renewed_at=max(self._row_changed_at, self._outage_notice_at),
             previous_grant_duration_s=self._estimate_previous_grant_duration_s(),
         )
         self.coordinator.start()
@@ -435,6 +437,8 @@
             return
         if self._row is None or notice.epoch < self._row.epoch:
             return
+        if notice.doubt:
+            self._outage_notice_at = monotonic()
         if notice.resigned:
             self._coordinator_resigned = True
             self._resigned_epoch = notice.epoch
