--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -16,6 +16,7 @@
     TableChange,
 )
 
+from plantaincart_router.direct.cutoff import CutOffWatch
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
@@ -56,6 +57,9 @@
 # of processor time.
 MIN_GATHER_S = 0.02
 NOTICES_PER_S = 1500.0
+# Share of the members that an upstream must have asked for a long pause before its keys
+# move. Below it, callers that are refused reach other instances on a retry.
+MIN_BACKED_OFF_SHARE = 0.5
 # Seconds for which the encoded whole map and the slowness of the upstreams are reused.
 # The map contains the seconds until unowned keys are free, so it becomes outdated even
 # if no owner changes.
@@ -159,6 +163,14 @@
             self._reset_grant_duration,
             self._handle_reclaimed,
         )
+        self._cut_off_watch = CutOffWatch(
+            self._times,
+            self._term,
+            self._granter,
+            view.reachability,
+            self._members,
+            self._resign_without_upstreams,
+        )
         self._slowness_tracker = SlownessTracker()
         self._regranted_at: dict[tuple[str, int], float] = {}
         self._cached_map = (-1, float("-inf"), b"")
@@ -182,6 +194,11 @@
         """Epoch of the term."""
         return self._term.epoch
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this instance reaches no upstream, or reached none at the end."""
+        return self._granter.is_cut_off
+
     def start(self) -> None:
         """Start the tasks of the term."""
         write_event("term_started", epoch=self.epoch)
@@ -192,6 +209,7 @@
             create_task(self._run_guarded("renew_term", self._term.renew)),
             create_task(self._run_guarded("place", self._run_placement)),
             create_task(self._run_guarded("renew", self._granter.renew)),
+            create_task(self._run_guarded("watch_upstreams", self._cut_off_watch.run)),
         ]
 
     def end(self, reason: str) -> None:
@@ -214,10 +232,20 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
 
-    async def resign(self) -> bool:
+    async def _resign_without_upstreams(self) -> bool:
+        return await self.resign("no upstream is reachable", is_stopping=False)
+
+    async def resign(self, reason: str = "planned", is_stopping: bool = True) -> bool:
         """
         Mark the coordinator row as vacant, and end the term.
 
+        Parameters
+        ----------
+        reason : str
+            Reason that is logged.
+        is_stopping : bool
+            Whether this instance will stop soon.
+
         Returns
         -------
         bool
@@ -229,13 +257,13 @@
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
             # The write may have taken effect although its answer was lost.
             await self._term.reread_row(str(error))
-            if self._term.is_store_lost_for_all:
+            if is_stopping and self._term.is_store_lost_for_all:
                 # No other instance can take over during the outage, so grants must stay
                 # valid for as long as possible after this instance has stopped.
                 self._granter.grant_duration_s = self._settings.bounds.max_hold_s
             return self.ended
         if vacated:
-            self.end("planned")
+            self.end(reason)
         return self.ended
 
     def receive(self, report: MemberReport) -> None:
@@ -478,6 +506,7 @@
         for record in self._granter.pop_leaving():
             self._view.record_leaving(record.id, record.born)
         unrenewed, self._granter.unrenewed = self._granter.unrenewed, []
+        backed_off = self._list_backed_off()
         for policy in routing_config.services.values():
             if not policy.keyed:
                 continue
@@ -485,7 +514,13 @@
             if placement is None:
                 placement = self._add_placement(policy.name)
             placement.regrant(unrenewed)
-            await placement.step()
+            await placement.step(backed_off)
+
+    def _list_backed_off(self) -> set[str]:
+        """List the upstreams that so many members must leave alone that keys move."""
+        limit = len(self._members) * MIN_BACKED_OFF_SHARE
+        counts = self._members.count_backoffs()
+        return {name for name, count in counts.items() if count >= limit}
 
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._decayed_at
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -230,6 +230,11 @@
         self, call: Call, record: UpstreamRecord, error: NotRunError
     ) -> None:
         """Return if a request that didn't run may be retried; raise otherwise."""
+        if self._selector.is_backed_off(record):
+            if call.service.keyed:
+                raise self._selector.refuse_backed_off(call, [record])
+            if not error.was_received:
+                return
         if not error.was_received:
             call.failed_connects += 1
             call.excluded_upstreams.add(record.id)
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -20,10 +20,10 @@
 MAX_DURATION_S = 3600.0
 MAX_SLOWNESS = 1e4
 MAX_NAME_LENGTH = 255
-MAX_PORT = 65535
-MAX_PORT_DIGITS = 5
 # Some 8,900 years after 1970.
 MAX_BORN_MS = 2**48
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 def check_report(report: MemberReport) -> None:
@@ -50,10 +50,11 @@
     _check_range(report.slowness.values(), MAX_SLOWNESS, "slowness")
     _check_range([key.key for key in report.refusing], KEY_COUNT - 1, "refused key")
     _check(all(version >= 0 for version in report.tables.values()), "tables")
+    _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
+    _check_range(map(len, report.backed_off), MAX_NAME_LENGTH, "backed_off")
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
-    _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
 
 
 def check_notice(notice: CoordinatorNotice) -> None:
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -1,7 +1,7 @@
 """Assignment of one service's keys to upstreams, and moves between them."""
 
 from asyncio import Task, create_task, sleep
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import replace
 from time import monotonic
 
@@ -161,12 +161,24 @@
         """Reduce the weight of earlier requests by a factor."""
         self._key_loads.decay(factor)
 
-    async def step(self) -> None:
-        """Assign unowned keys to other upstreams, or rebalance the load."""
+    async def step(self, backed_off: Set[str] = frozenset()) -> None:
+        """
+        Assign unowned keys to other upstreams, or rebalance the load.
+
+        Parameters
+        ----------
+        backed_off : set of str
+            Upstreams whose keys should move, as most instances must not send them
+            requests.
+        """
         self._registry.record_announced()
         planner = self._planner
-        owners = planner.list_owners()
-        if not any(owner.accepts_keys for owner in owners.values()):
+        owners = planner.list_owners(backed_off)
+        if self._granter.seems_cut_off or not any(
+            owner.accepts_keys for owner in owners.values()
+        ):
+            # Another upstream isn't reached either.
+            self._retry_failed_moves()
             return
         if self._moving or any(key_range.owner for key_range in self.owners):
             moves = planner.plan_unowned(self.owners, self._moving, owners)
@@ -178,6 +190,12 @@
         if moves:
             await self._carry_out(moves)
 
+    def _retry_failed_moves(self) -> None:
+        """Grant keys again to owners that didn't answer at the end of a move."""
+        failed_ranges = self._planner.failed_ranges.intersection(self.owners)
+        self._planner.failed_ranges.clear()
+        self.regrant(failed_ranges)
+
     def _is_rebalance_due(self) -> bool:
         now = monotonic()
         if now - self._rebalanced_at < self._settings.coordination.rebalance_s:
--- a/packages/router/plantaincart_router/direct/relayserver.py
+++ b/packages/router/plantaincart_router/direct/relayserver.py
@@ -115,6 +115,10 @@
             elif error.closed_at_once:
                 outcome = RelayOutcome.CLOSED_AT_ONCE
             return outcome, None, str(error)
+        retry_after_s = self._header_codec.read_answer(answer).retry_after_s
+        if retry_after_s > 0.0:
+            # The upstream asks the instance from which the request came.
+            self._view.backoffs.record(record, retry_after_s, monotonic())
         return RelayOutcome.ANSWERED, self._header_codec.write_answer(answer), ""
 
     def _find_upstream(self, wanted: RelayedAttempt) -> UpstreamRecord | None:
@@ -129,6 +133,7 @@
             may_send = view.can_serve_keys(record)
         else:
             may_send = view.directory.accepts_requests(record)
+        may_send = may_send and view.backoffs.remaining_s(record, monotonic()) <= 0.0
         return record if may_send else None
 
 
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -17,6 +17,7 @@
 )
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.message import HttpAnswer
+from plantaincart_router.log import write_event
 
 __all__ = ["UpstreamSender"]
 
@@ -105,6 +106,13 @@
         metadata = self._header_codec.read_answer(answer)
         record_leaving(self._view, record, metadata)
         now = monotonic()
+        if metadata.retry_after_s > 0.0:
+            self._view.backoffs.record(record, metadata.retry_after_s, now)
+            write_event(
+                "upstream_backoff",
+                upstream=record.id,
+                seconds=round(metadata.retry_after_s, 3),
+            )
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
         if metadata.not_run:
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -134,6 +134,10 @@
             connection = await self._pools.open(record, attempt.remaining_s)
         except ExchangeError as error:
             raise NotRunError(str(error), False, False) from error
+        if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
+            # Another request was rejected while the connection was opened.
+            connection.close()
+            raise NotRunError("the upstream asked for a pause", False, False)
         return await self.exchange_on(connection, attempt, record, True)
 
     async def exchange_on(
