--- a/packages/router/plantaincart_router/direct/relaytransport.py
+++ b/packages/router/plantaincart_router/direct/relaytransport.py
@@ -22,6 +22,7 @@
     AttemptTransport,
     DirectTransport,
     check_drain_bound,
+    record_backoff,
 )
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
@@ -174,6 +175,7 @@
                 timed_out=outcome is RelayOutcome.TIMED_OUT,
                 closed_at_once=outcome is RelayOutcome.CLOSED_AT_ONCE,
             )
+        record_backoff(self._view, record, self._header_codec.read_answer(answer))
         return answer
 
     async def _send(
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -14,12 +14,14 @@
 from plantaincart_router.exception import AnswerTimeoutError, ExchangeError
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
+from plantaincart_router.log import write_event
 
 __all__ = [
     "Attempt",
     "AttemptTransport",
     "DirectTransport",
     "check_drain_bound",
+    "record_backoff",
     "record_leaving",
 ]
 
@@ -98,7 +100,7 @@
     settings : SendSettings
         For how long idle connections are reused.
     view : SystemView
-        State of the system, with the upstreams that leave.
+        State of the system, with the upstreams that leave or want no requests.
     """
 
     def __init__(
@@ -134,10 +136,6 @@
             connection = await self._pools.open(record, attempt.remaining_s)
         except ExchangeError as error:
             raise NotRunError(str(error), False, False) from error
-        if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
-            # Another request was rejected while the connection was opened.
-            connection.close()
-            raise NotRunError("the upstream asked for a pause", False, False)
         return await self.exchange_on(connection, attempt, record, True)
 
     async def exchange_on(
@@ -171,7 +169,7 @@
             answer = await connection.exchange(
                 request,
                 remaining_s,
-                lambda: check_drain_bound(self._view, record),
+                lambda: self._check_before_write(record),
                 lambda answer: self._belongs(answer, attempt.request_id, record),
             )
         except NotRunError:
@@ -193,9 +191,16 @@
         pools.reachability.record_answer(monotonic())
         metadata = self._header_codec.read_answer(answer)
         record_leaving(self._view, record, metadata)
+        record_backoff(self._view, record, metadata)
         pools.return_connection(record, connection, metadata.idle_timeout_s)
         return answer
 
+    def _check_before_write(self, record: UpstreamRecord) -> None:
+        check_drain_bound(self._view, record)
+        if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
+            # Another request was rejected while the connection was opened.
+            raise NotRunError("the upstream asked for a pause", False, False)
+
     def _belongs(
         self, answer: HttpAnswer, request_id: str, record: UpstreamRecord
     ) -> bool:
@@ -212,6 +217,19 @@
         raise NotRunError(f"upstream {record.id} has left", False, False)
 
 
+def record_backoff(
+    view: SystemView, record: UpstreamRecord, metadata: AnswerMetadata
+) -> None:
+    """Record that an upstream asked for a time without requests, if it did."""
+    if metadata.retry_after_s > 0.0:
+        view.backoffs.record(record, metadata.retry_after_s, monotonic())
+        write_event(
+            "upstream_backoff",
+            upstream=record.id,
+            seconds=round(metadata.retry_after_s, 3),
+        )
+
+
 def record_leaving(
     view: SystemView, record: UpstreamRecord, metadata: AnswerMetadata
 ) -> None:
