--- a/packages/router/plantaincart_router/direct/tests/cutsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/cutsystem.py
@@ -12,6 +12,7 @@
 )
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from random import randrange
 from socket import SO_LINGER, SO_REUSEADDR, SOL_SOCKET, socket
 from struct import pack
 from time import monotonic
@@ -30,13 +31,24 @@
     make_record,
     make_settings,
 )
-from plantaincart_router.direct.tests.memorysystem import find_port, wait_for
+from plantaincart_router.direct.tests.memorysystem import wait_for
 from plantaincart_router.exception import ExchangeError
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpRequest, find_header
 
 DATA_CENTRES = ("a", "b", "c")
 WORK_S = 0.01
+# Below the usual range of ports for outgoing connections.
+FIXED_PORTS = (20000, 32000)
+
+
+def find_fixed_port():
+    """Return a free port that no connection is given by the kernel meanwhile."""
+    while True:
+        port = randrange(*FIXED_PORTS)
+        with socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class Upstream:
@@ -91,11 +103,10 @@
         self._passes.set()
         self._writers = set()
         self._blocked = []
-        self.port = 0
+        self.port = find_fixed_port()
 
     async def start(self):
         self._server = await start_server(self._relay, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
 
     async def cut(self, connects, connections):
         """Let connects hang, be refused or reset; connections hang, be reset, live."""
@@ -268,10 +279,10 @@
 
     async def _add(self, name):
         settings = replace(
-            make_settings(name, find_port()),
-            front_port=find_port(),
-            ready_port=find_port(),
-            metrics_port=find_port(),
+            make_settings(name, find_fixed_port()),
+            front_port=find_fixed_port(),
+            ready_port=find_fixed_port(),
+            metrics_port=find_fixed_port(),
         )
         self.paths[name] = {
             upstream.name: Path(upstream) for upstream in self.upstreams
