Pause between reads of the owners in a takeover, and suspend for less in a test

The review of two-owners: reading the owners again had no pause, so that a predecessor which moves keys would have cost store calls without one. The test of a suspension in an outage passed without what it guards, since five seconds end the term by another bound; with one second it fails without it.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -51,6 +51,8 @@
 # bits.
 SEQUENCE_BITS = 24
 PLACEMENT_INTERVAL_S = 0.1
+# Seconds between two reads of the owners while the previous coordinator moves keys.
+REREAD_INTERVAL_S = 0.02
 # The half-life of an exponential mean is its time constant times ln 2.
 LN_2 = 0.69
 # Minimum time in seconds for which changes are batched before they are sent, and
@@ -423,6 +425,7 @@
             except StoreConflictError as error:
                 # The previous coordinator has moved keys since the rows were read.
                 write_event("ownership_rows_reread", epoch=self.epoch, error=str(error))
+                await sleep(REREAD_INTERVAL_S)
                 continue
             return rows
 
--- a/packages/router/plantaincart_router/direct/tests/test_suspension.py
+++ b/packages/router/plantaincart_router/direct/tests/test_suspension.py
@@ -14,12 +14,14 @@
 from plantaincart_router.direct.tests.memorysystem import run_system, wait_for
 
 SUSPENDED_S = 5.0
+# Longer than a term lasts unconfirmed, and shorter than one lasts in an outage.
+SHORT_SUSPENSION_S = 1.0
 
 
-def suspend(monkeypatch):
+def suspend(monkeypatch, seconds=SUSPENDED_S):
     """Let the boot time jump while the steady clock goes on as if nothing was."""
     monkeypatch.setattr(
-        clock, "clock_gettime", lambda name: clock_gettime(name) + SUSPENDED_S
+        clock, "clock_gettime", lambda name: clock_gettime(name) + seconds
     )
 
 
@@ -55,9 +57,10 @@
         for instance in system.instances.values():
             if instance is not coordinator:
                 instance.follower.close()
-        suspend(monkeypatch)
+        suspend(monkeypatch, SHORT_SUSPENSION_S)
         granted = count_grants(coordinator)
-        await sleep(FAST.renew_s * 1.5)
+        # Longer than the members' last reports count otherwise.
+        await sleep(FAST.member_s * 2)
         assert count_grants(coordinator) == granted
 
 
