Log which request an upstream was running when it ended

Now a lost connection is followed by a connect to its upstream; if that is refused or closed at once, upstream_crashed is logged with a fingerprint of the request that is the same at all instances and in all attempts. A connect that times out proves nothing. Not changed: what is sent, retried or refused.

--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -7,6 +7,7 @@
 from plantaincart_core.directory import UpstreamRecord
 
 from plantaincart_router.direct.call import LostError, NotRunError
+from plantaincart_router.direct.crashwatch import CrashWatch
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
 from plantaincart_router.direct.settings import SendSettings
@@ -112,6 +113,7 @@
     ) -> None:
         self._view = view
         self._pools = pools
+        self._crash_watch = CrashWatch(pools)
         self._header_codec = header_codec
         self._settings = settings
 
@@ -187,6 +189,10 @@
                 # The upstream has too many connections; other requests must wait
                 # before they open more.
                 pools.connect_failures.record_closed_at_once(record, monotonic())
+            else:
+                await self._crash_watch.check(
+                    attempt.request, record, attempt.request_id
+                )
             raise LostError(str(error), closed_at_once=closed_at_once) from error
         pools.reachability.record_answer(monotonic())
         metadata = self._header_codec.read_answer(answer)
--- a/packages/router/plantaincart_router/exception.py
+++ b/packages/router/plantaincart_router/exception.py
@@ -49,10 +49,23 @@
 
 
 class ConnectFailedError(ExchangeError):
-    """The connection couldn't be opened; nothing was sent."""
+    """
+    The connection couldn't be opened; nothing was sent.
+
+    Parameters
+    ----------
+    detail : str
+        Description of the failure, with the address of the server.
+    timed_out : bool
+        Whether there was no reply at all, rather than a refusal.
+    """
 
     may_have_started = False
 
+    def __init__(self, detail: str = "", *, timed_out: bool = False) -> None:
+        super().__init__(detail)
+        self.timed_out = timed_out
+
 
 class SendFailedError(ExchangeError):
     """
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -125,7 +125,7 @@
                 )
                 return connection
         except TimeoutError:
-            raise ConnectFailedError(f"{address}: timeout") from None
+            raise ConnectFailedError(f"{address}: timeout", timed_out=True) from None
         except OSError as error:
             raise ConnectFailedError(f"{address}: {error}") from error
 
