Refuse requests that crash upstreams at all instances

Cause: the deployed path kept no account of what a request has done; the quarantine belonged to the path through leaders alone.

Now an upstream that closes the connection of a running request is connected to. If it has ended, its process is recorded under a digest of the request; the coordinator adds up the records of all instances and tells the members, and a later coordinator gets them from the members. From the third process on the request is refused as not run, with the time that remains. An answer anywhere clears a request that merely ran beside the cause, and after 10 s the request is tried once more by one instance after the other. It works since records name processes, so that they add up on any way, and since each instance refuses by the sum. New fields of messages have defaults; earlier builds ignore them.

--- a/packages/core/plantaincart_core/quarantine.py
+++ b/packages/core/plantaincart_core/quarantine.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from math import inf
 
 from plantaincart_schema.generated.mesh import QuarantineNotice
 from plantaincart_schema.generated.settings import DispatchSettings
@@ -86,7 +87,7 @@
         self._add(service, fingerprint, (upstream_incarnation,), now)
         return not was_quarantined and self.is_quarantined(service, fingerprint, now)
 
-    def record_answer(self, service: str, fingerprint: str) -> None:
+    def record_answer(self, service: str, fingerprint: str) -> bool:
         """
         Clear the strikes of a request that an upstream answered.
 
@@ -94,12 +95,19 @@
         ----------
         service, fingerprint : str
             Service and fingerprint of the request.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
         """
         if not self._suspects:
-            return
+            return False
         suspect = self._suspects.get((service, fingerprint))
-        if suspect is not None:
-            suspect.strikes.clear()
+        if suspect is None or not suspect.strikes:
+            return False
+        suspect.strikes.clear()
+        return True
 
     def count_strikes(self, service: str, fingerprint: str, now: float) -> int:
         """
@@ -183,7 +191,9 @@
         """
         return self._add(notice.service, notice.fingerprint, notice.upstreams, now)
 
-    def list_notices(self, now: float) -> list[QuarantineNotice]:
+    def list_notices(
+        self, now: float, max_age_s: float = inf
+    ) -> list[QuarantineNotice]:
         """
         List the crashes that are to be sent to other instances.
 
@@ -191,6 +201,8 @@
         ----------
         now : float
             Present time in seconds.
+        max_age_s : float
+            Maximum time in seconds since the last crash was recorded.
 
         Returns
         -------
@@ -198,6 +210,7 @@
             One notice for each fingerprint with strikes, until `quarantine_s` after
             its last crash.
         """
+        limit_s = min(max_age_s, self.settings.quarantine_s)
         return [
             QuarantineNotice(
                 service=service,
@@ -205,8 +218,7 @@
                 upstreams=sorted(suspect.strikes),
             )
             for (service, fingerprint), suspect in self._suspects.items()
-            if suspect.strikes
-            and now < suspect.recorded_at + self.settings.quarantine_s
+            if suspect.strikes and now < suspect.recorded_at + limit_s
         ]
 
     def expire(self, now: float) -> None:
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -10,6 +10,7 @@
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
     CoordinatorRow,
+    CrashRecord,
     MapChange,
     MemberReport,
     OwnershipRow,
@@ -21,7 +22,11 @@
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
 from plantaincart_router.direct.maphistory import MapHistory
-from plantaincart_router.direct.membership import Member, Membership
+from plantaincart_router.direct.membership import (
+    INTRODUCTION_S,
+    Member,
+    Membership,
+)
 from plantaincart_router.direct.noticecodec import pack_changes
 from plantaincart_router.direct.ownershiprow import (
     decode_ownership,
@@ -284,6 +289,8 @@
         for upstream, born in report.leaving_upstreams.items():
             self._view.record_leaving(upstream, born)
         self._process_loads(report)
+        if self._view.crashes.merge(report.crashes, monotonic()):
+            self.announce()
         loads = None
         if self._members.needs_loads(member):
             loads = self._members.pack_loads(monotonic())
@@ -578,7 +585,9 @@
         slowness: dict[str, float] = {}
         tables: list[TableChange] = []
         relays: list[str] = []
+        crashes: list[CrashRecord] = []
         if member is not None:
+            crashes = self._list_crashes(member)
             if member.report.cut_off:
                 relays = self._members.choose_relays(name, monotonic())
             if self._resumed:
@@ -605,9 +614,15 @@
             slowness=slowness,
             tables=tables,
             relays=relays,
+            crashes=crashes,
             removals_wait_s=self._view.directory.removal_delay_s(monotonic()),
         )
 
+    def _list_crashes(self, member: Member) -> list[CrashRecord]:
+        now = monotonic()
+        is_new = now - member.joined_at < INTRODUCTION_S
+        return self._view.crashes.list_told(now, is_new)
+
     def _list_table_changes(self, member: Member) -> list[TableChange]:
         """Describe the table changes that the member doesn't have yet."""
         changes: list[TableChange] = []
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -20,6 +20,7 @@
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.interface import Platform
+from plantaincart_router.direct.membership import INTRODUCTION_S
 from plantaincart_router.direct.messagecheck import check_notice, check_report
 from plantaincart_router.direct.noticecodec import (
     open_notice,
@@ -387,12 +388,17 @@
             cut_off=self._is_cut_off(),
             relay_address=self.relay_address,
             data_centre=settings.data_centre,
+            crashes=view.crashes.list_reported(monotonic(), self._is_newly_connected()),
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
         elif self._notice_socket is not None:
             self._notice_socket.send([encode_msgpack(report)])
 
+    def _is_newly_connected(self) -> bool:
+        """Whether the coordinator may lack what earlier ones were told."""
+        return monotonic() - self._connected_at < INTRODUCTION_S
+
     def _handle_store_doubt(self, doubt: bool) -> None:
         """Test whether this instance reaches the store if the coordinator doesn't."""
         if not doubt:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -191,8 +191,11 @@
             if task is not None:
                 call.caller.set_disconnect_callback(lambda: _cancel(task))
         self._find_budget(call.service.name).record_request(call.started_at)
+        self._check_quarantine(call)
         while True:
             record = await self._selector.find_upstream(call)
+            # The request may have waited, or ended an upstream.
+            self._check_quarantine(call)
             try:
                 return await self._sender.send(call, record)
             except NotRunError as error:
@@ -220,10 +223,29 @@
                 )
                 self._check_retry_after_loss(call, str(error))
 
+    def _check_quarantine(self, call: Call) -> None:
+        """Reject a request under which several upstreams have ended."""
+        view = self._view
+        rank = view.members if view.rank is None else view.rank
+        remaining_s = view.crashes.remaining_s(
+            call.request, call.service.name, rank, monotonic()
+        )
+        if remaining_s <= 0.0:
+            return
+        self._metrics.count("quarantined", call.service.name)
+        detail = "upstreams ended while they ran this request"
+        if call.may_have_run:
+            raise RefusedError(refuse_may_have_run(Reason.UPSTREAM_LOST, detail))
+        raise refuse(Reason.QUARANTINED, detail, remaining_s, 503)
+
     def _check_retry_after_loss(self, call: Call, detail: str) -> None:
         timed_out = call.remaining_s <= self._settings.send.least_left_s
         reason = Reason.UPSTREAM_TIMEOUT if timed_out else Reason.UPSTREAM_LOST
-        if not call.route.idempotent or timed_out or not self._may_retry(call):
+        is_suspect = self._view.crashes.is_suspect(
+            call.request, call.service.name, monotonic()
+        )
+        may_retry = call.route.idempotent and not timed_out and not is_suspect
+        if not may_retry or not self._may_retry(call):
             raise RefusedError(refuse_may_have_run(reason, detail))
 
     async def _prepare_retry(
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -9,7 +9,7 @@
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.log import write_event
 
-__all__ = ["Member", "Membership"]
+__all__ = ["INTRODUCTION_S", "Member", "Membership"]
 
 # Up to this many members, every notice contains the upstreams' loads; up to twice as
 # many, every second notice does, and so on. Every fourth notice with loads also
@@ -23,6 +23,9 @@
 # its own data centre on, it is told no others.
 MAX_RELAYS = 4
 MIN_LOCAL_RELAYS = 2
+# Seconds for which a new member and a new coordinator tell each other all that the
+# other may have missed.
+INTRODUCTION_S = 5.0
 # Seconds after which a change is sent again if the member hasn't confirmed it.
 RESEND_S = 0.6
 
@@ -42,6 +45,8 @@
     ----------
     last_report_at : float
         Time of the last report.
+    joined_at : float
+        Time of the first report.
     notices : int
         Number of notices that answered its reports.
     has_current_silence : bool
@@ -50,7 +55,7 @@
 
     def __init__(self, report: MemberReport, now: float) -> None:
         self.report = report
-        self.last_report_at = now
+        self.last_report_at = self.joined_at = now
         self.notices = 0
         self.has_current_silence = True
         self._map_sent = -1
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -1,12 +1,13 @@
 """Bounds of the values in messages between instances, checked once on receipt."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from math import inf, isfinite
 
 from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
+    CrashRecord,
     KeyLoad,
     MapChange,
     MemberReport,
@@ -24,6 +25,8 @@
 MAX_BORN_MS = 2**48
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
+MAX_CRASH_RECORDS = 256
+MAX_CRASHED_UPSTREAMS = 256
 
 
 def check_report(report: MemberReport) -> None:
@@ -52,6 +55,7 @@
     _check(all(version >= 0 for version in report.tables.values()), "tables")
     _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
     _check_range(map(len, report.backed_off), MAX_NAME_LENGTH, "backed_off")
+    _check_crashes(report.crashes)
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
@@ -86,6 +90,7 @@
     )
     _check(all(map(_is_key_range, notice.changes)), "key range")
     _check(all(map(_is_address, notice.relays)), "relays")
+    _check_crashes(notice.crashes)
 
 
 def _check_load(load: KeyLoad) -> None:
@@ -94,6 +99,14 @@
     _check_range(load.work_ms, MAX_WORK_MS, "work_ms")
 
 
+def _check_crashes(crashes: Sequence[CrashRecord]) -> None:
+    _check(len(crashes) <= MAX_CRASH_RECORDS, "number of crash records")
+    for crash in crashes:
+        names = [crash.service, crash.fingerprint, *crash.upstreams]
+        _check(len(crash.upstreams) <= MAX_CRASHED_UPSTREAMS, "crashed upstreams")
+        _check_range(map(len, names), MAX_NAME_LENGTH, "names of a crash record")
+
+
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(":")
     is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -14,6 +14,7 @@
     "attempts": ("Requests sent to upstreams", ("service", "result")),
     "relayed": ("Requests sent through another instance", ("outcome",)),
     "relays": ("Requests sent to upstreams for other instances", ("outcome",)),
+    "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
 HISTOGRAMS = {
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -133,7 +133,9 @@
         if not connection.reusable:
             self.connect_failures.record_closed_at_once(record, monotonic())
             self.reachability.record_closed_at_once(record, monotonic())
-            raise ConnectFailedError(f"{record.host}:{record.port}: closed at once")
+            raise ConnectFailedError(
+                f"{record.host}:{record.port}: closed at once", closed_at_once=True
+            )
         if self.reachability.is_cut_off:
             # The failures of other upstreams were those of the way to them.
             self.connect_failures.clear()
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -155,6 +155,7 @@
     servers = []
     for at, upstream in enumerate(upstreams):
         server = await start_server(upstream.serve, "127.0.0.1", 0)
+        upstream.listener = server
         servers.append(server)
         port = server.sockets[0].getsockname()[1]
         view.directory.put(make_record(f"u{at}", port=port), monotonic())
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -7,7 +7,9 @@
 from plantaincart_core.directory import UpstreamRecord
 
 from plantaincart_router.direct.call import LostError, NotRunError
+from plantaincart_router.direct.crashledger import Loss
 from plantaincart_router.direct.crashwatch import CrashWatch
+from plantaincart_router.direct.fingerprint import fingerprint_request
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.pool import CLOSED_AT_ONCE_S, UpstreamPools
 from plantaincart_router.direct.settings import SendSettings
@@ -113,7 +115,7 @@
     ) -> None:
         self._view = view
         self._pools = pools
-        self._crash_watch = CrashWatch(pools)
+        self._crash_watch = CrashWatch(pools, view.crashes)
         self._header_codec = header_codec
         self._settings = settings
 
@@ -189,15 +191,22 @@
                 # The upstream has too many connections; other requests must wait
                 # before they open more.
                 pools.connect_failures.record_closed_at_once(record, monotonic())
-            else:
-                await self._crash_watch.check(
-                    attempt.request, record, attempt.request_id
-                )
+            loss = Loss(
+                fingerprint=fingerprint_request(attempt.request, record.service),
+                request_id=attempt.request_id,
+                record=record,
+                closed_at_once=closed_at_once,
+            )
+            await self._crash_watch.check(loss)
             raise LostError(str(error), closed_at_once=closed_at_once) from error
         pools.reachability.record_answer(monotonic())
         metadata = self._header_codec.read_answer(answer)
         record_leaving(self._view, record, metadata)
         record_backoff(self._view, record, metadata)
+        if not metadata.not_run:
+            self._view.crashes.record_answer(
+                attempt.request, record.service, monotonic()
+            )
         pools.return_connection(record, connection, metadata.idle_timeout_s)
         return answer
 
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -16,6 +16,7 @@
 )
 
 from plantaincart_router.direct.backoff import UpstreamBackoffs
+from plantaincart_router.direct.crashledger import CrashLedger
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
 from plantaincart_router.direct.pool import UpstreamPools
@@ -63,6 +64,8 @@
         Whether this instance can connect to any upstream.
     relays : tuple of str
         Addresses of the relays that the coordinator named last.
+    crashes : CrashLedger
+        Requests under which upstreams have ended.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         self._members_counted_at = 0.0
         self.loads = UpstreamLoads(settings.load)
         self.backoffs = UpstreamBackoffs()
+        self.crashes = CrashLedger()
         self._changed = Event()
 
     def replace_table(self, table: str, view: TableRows, known_until: float) -> None:
@@ -187,6 +191,7 @@
             return False
         if notice.relays:
             self.relays = tuple(notice.relays)
+        self.crashes.merge(notice.crashes, monotonic())
         if notice.epoch > self.epoch and not notice.complete:
             return False
         self.epoch = notice.epoch
@@ -342,6 +347,7 @@
     def _handle_upstream_gone(self, record: UpstreamRecord) -> None:
         write_event("upstream_gone", upstream=record.id, born=record.born)
         self._pools.close_idle(record)
+        self.crashes.record_gone(record, monotonic())
         if self.directory.get(record.id) is None:
             self.loads.remove(record.id)
             self._draining_since.pop(record.id, None)
--- a/packages/router/plantaincart_router/exception.py
+++ b/packages/router/plantaincart_router/exception.py
@@ -56,15 +56,20 @@
     ----------
     detail : str
         Description of the failure, with the address of the server.
-    timed_out : bool
-        Whether there was no reply at all, rather than a refusal.
+    refused : bool
+        Whether the server's machine replied that nobody accepts connections.
+    closed_at_once : bool
+        Whether the connection was accepted and then closed.
     """
 
     may_have_started = False
 
-    def __init__(self, detail: str = "", *, timed_out: bool = False) -> None:
+    def __init__(
+        self, detail: str = "", *, refused: bool = False, closed_at_once: bool = False
+    ) -> None:
         super().__init__(detail)
-        self.timed_out = timed_out
+        self.refused = refused
+        self.closed_at_once = closed_at_once
 
 
 class SendFailedError(ExchangeError):
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -125,9 +125,10 @@
                 )
                 return connection
         except TimeoutError:
-            raise ConnectFailedError(f"{address}: timeout", timed_out=True) from None
+            raise ConnectFailedError(f"{address}: timeout") from None
         except OSError as error:
-            raise ConnectFailedError(f"{address}: {error}") from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectFailedError(f"{address}: {error}", refused=refused) from error
 
     @property
     def reusable(self) -> bool:
