--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -76,6 +76,9 @@
     retry_after_s : float
         Seconds for which an upstream that rejected the request asks this instance to
         send no further requests; 0 for none.
+    limit_per_s : float or None
+        Requests per second that the upstream takes from all instances together, if it
+        states a limit.
     """
 
     not_run: bool
@@ -85,6 +88,7 @@
     idle_timeout_s: float | None
     leaving: bool = False
     retry_after_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 class HeaderCodec(ABC):
--- a/packages/router/plantaincart_router/direct/relaytransport.py
+++ b/packages/router/plantaincart_router/direct/relaytransport.py
@@ -175,7 +175,11 @@
                 timed_out=outcome is RelayOutcome.TIMED_OUT,
                 closed_at_once=outcome is RelayOutcome.CLOSED_AT_ONCE,
             )
-        record_backoff(self._view, record, self._header_codec.read_answer(answer))
+        metadata = self._header_codec.read_answer(answer)
+        record_backoff(self._view, record, metadata)
+        self._view.quotas.record_answer(
+            record, metadata.limit_per_s, sent_at, monotonic()
+        )
         return answer
 
     async def _send(
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -403,6 +403,7 @@
 
     def read_answer(self, answer):
         in_progress = find_header(answer.headers, "present")
+        limit = find_header(answer.headers, "limit")
         return AnswerMetadata(
             not_run=find_header(answer.headers, "not-run") is not None,
             misdirected=answer.status == 421,
@@ -410,6 +411,7 @@
             request_count=int(in_progress) if in_progress else None,
             idle_timeout_s=None,
             retry_after_s=float(find_header(answer.headers, "retry-after") or 0.0),
+            limit_per_s=float(limit) if limit else None,
         )
 
     def belongs_to_request(self, answer, request_id):
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -203,6 +203,9 @@
         metadata = self._header_codec.read_answer(answer)
         record_leaving(self._view, record, metadata)
         record_backoff(self._view, record, metadata)
+        self._view.quotas.record_answer(
+            record, metadata.limit_per_s, sent_at, monotonic()
+        )
         if not metadata.not_run:
             self._view.crashes.record_answer(
                 attempt.request, record.service, monotonic()
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -20,6 +20,7 @@
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import TableRows
@@ -66,6 +67,8 @@
         Addresses of the relays that the coordinator named last.
     crashes : CrashLedger
         Requests under which upstreams have ended.
+    quotas : UpstreamQuotas
+        Limits that upstreams have named.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.loads = UpstreamLoads(settings.load)
         self.backoffs = UpstreamBackoffs()
         self.crashes = CrashLedger()
+        self.quotas = UpstreamQuotas()
         self._changed = Event()
 
     def replace_table(self, table: str, view: TableRows, known_until: float) -> None:
@@ -348,6 +352,7 @@
         write_event("upstream_gone", upstream=record.id, born=record.born)
         self._pools.close_idle(record)
         self.crashes.record_gone(record, monotonic())
+        self.quotas.limits.remove((record.id, record.born))
         if self.directory.get(record.id) is None:
             self.loads.remove(record.id)
             self._draining_since.pop(record.id, None)
