Divide the limits that upstreams name among all instances

Cause: nothing read the header. Had each instance heeded it for itself, the sum would have been up to the number of instances times the limit.

Now the latest statement of each upstream process reaches all instances through the coordinator, and a request for a limited upstream waits for a permit, which the coordinator issues to requests that wait, as many a second as the upstream takes. The sum is exact however the callers are distributed; unused permits lapse, and a new coordinator starts without any, so the sum also holds over a takeover. While the coordinator is silent, or of a build that knows no limits, instances take turns. Admission counts the expected wait, so what can't be sent in time is refused at once, and requests without a key go elsewhere. A limited owner counts with the work that it takes, so its keys with load move.

--- a/packages/core/plantaincart_core/keyload.py
+++ b/packages/core/plantaincart_core/keyload.py
@@ -49,6 +49,11 @@
         self.loads: dict[int, float] = {}
         self.request_load = INITIAL_REQUEST_LOAD
 
+    @property
+    def request_work_s(self) -> float:
+        """Moving average of the work of a request in seconds."""
+        return self.request_load * self._memory_s
+
     def add(self, keys: Iterable[int], work_s: Iterable[float]) -> None:
         """Add requests, given as their keys and their work in seconds."""
         weight = 1.0 / self._memory_s
--- a/packages/core/plantaincart_core/namedlimit.py
+++ b/packages/core/plantaincart_core/namedlimit.py
@@ -10,6 +10,9 @@
 # Lowest limit in requests per second that is applied. An upstream that takes none could
 # not be heard to take more again.
 MIN_LIMIT_PER_S = 0.2
+# Seconds by which a repeated statement must be later. Times become later by the way of
+# each message, so that a statement that is passed on would never age.
+MIN_LATER_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,8 +77,11 @@
         known = self._statements.get(process)
         if known is None and statement.per_s is None:
             return False
-        if known is not None and known.heard_at >= statement.heard_at:
-            return False
+        if known is not None:
+            later_s = statement.heard_at - known.heard_at
+            is_same = statement.per_s == known.per_s
+            if later_s <= 0.0 or (is_same and later_s < MIN_LATER_S):
+                return False
         self._statements[process] = statement
         return known is None or known.per_s != statement.per_s
 
@@ -86,6 +92,11 @@
             return None
         return max(MIN_LIMIT_PER_S, statement.per_s)
 
+    def find_heard_at(self, process: Process) -> float:
+        """Return the time of the latest statement in seconds; -inf if there is none."""
+        statement = self._statements.get(process)
+        return float("-inf") if statement is None else statement.heard_at
+
     def list_statements(self, cleared_since: float) -> dict[Process, NamedLimit]:
         """
         Return the limits in force, and those that have ended lately, by process.
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -14,6 +14,7 @@
     MapChange,
     MemberReport,
     OwnershipRow,
+    Quota,
     TableChange,
 )
 
@@ -21,6 +22,7 @@
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
+from plantaincart_router.direct.limitdivision import LimitDivision
 from plantaincart_router.direct.maphistory import MapHistory
 from plantaincart_router.direct.membership import (
     INTRODUCTION_S,
@@ -163,6 +165,7 @@
         self._sequence = 0
         self._map_history = MapHistory()
         self._members = Membership(self._times)
+        self._limit_division = LimitDivision(view.quotas)
         self._term = Term(
             self._times,
             store,
@@ -289,7 +292,9 @@
         for upstream, born in report.leaving_upstreams.items():
             self._view.record_leaving(upstream, born)
         self._process_loads(report)
-        if self._view.crashes.merge(report.crashes, monotonic()):
+        has_news = self._view.crashes.merge(report.crashes, monotonic())
+        has_news |= self._limit_division.record_report(report, monotonic())
+        if has_news:
             self.announce()
         loads = None
         if self._members.needs_loads(member):
@@ -513,6 +518,7 @@
     async def _place_once(self) -> None:
         now = monotonic()
         self._members.remove_silent(now)
+        self._limit_division.retain(self._members.list_names())
         self._decay(now)
         self._view.expire()
         await self._adopt_found_rows()
@@ -586,6 +592,9 @@
         tables: list[TableChange] = []
         relays: list[str] = []
         crashes: list[CrashRecord] = []
+        quotas: list[Quota] = []
+        if member is not None and not resigned:
+            quotas = self._limit_division.describe(name, monotonic())
         if member is not None:
             crashes = self._list_crashes(member)
             if member.report.cut_off:
@@ -615,6 +624,7 @@
             tables=tables,
             relays=relays,
             crashes=crashes,
+            quotas=quotas,
             removals_wait_s=self._view.directory.removal_delay_s(monotonic()),
         )
 
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -54,6 +54,8 @@
 # Seconds after a notice with an extended grant duration for which a successor assumes
 # that such grants may still be valid.
 LONG_GRANTS_MEMORY_S = 40.0
+# Minimum interval in seconds between reports of requests that begin to wait.
+MIN_REPORT_INTERVAL_S = 0.05
 # Seconds after the end of a term without upstreams for which an instance is taken to be
 # cut off from them.
 CUT_OFF_MEMORY_S = 5.0
@@ -127,6 +129,9 @@
         self.relay_address = ""
         # The notice that answers the report names the relays.
         view.reachability.on_change = self._report
+        # The notice that answers it brings permits.
+        view.quotas.on_wait = self._report_soon
+        self._reported_at = float("-inf")
 
     def start(self, loop) -> None:  # type: ignore[no-untyped-def]
         """Accept reports of other instances, and start to look for the coordinator."""
@@ -366,6 +371,7 @@
         settings, view = self._settings, self._view
         if self.coordinator is None and self._notice_socket is None:
             return
+        self._reported_at = monotonic()
         report = MemberReport(
             member=settings.name,
             incarnation=self._incarnation,
@@ -389,12 +395,18 @@
             relay_address=self.relay_address,
             data_centre=settings.data_centre,
             crashes=view.crashes.list_reported(monotonic(), self._is_newly_connected()),
+            limits=view.quotas.list_reports(monotonic()),
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
         elif self._notice_socket is not None:
             self._notice_socket.send([encode_msgpack(report)])
 
+    def _report_soon(self) -> None:
+        """Report now, unless the last report has only just been sent."""
+        if monotonic() - self._reported_at > MIN_REPORT_INTERVAL_S:
+            self._report()
+
     def _is_newly_connected(self) -> bool:
         """Whether the coordinator may lack what earlier ones were told."""
         return monotonic() - self._connected_at < INTRODUCTION_S
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -9,8 +9,10 @@
     CoordinatorNotice,
     CrashRecord,
     KeyLoad,
+    LimitReport,
     MapChange,
     MemberReport,
+    Quota,
 )
 
 __all__ = ["check_notice", "check_report"]
@@ -27,6 +29,10 @@
 MAX_PORT_DIGITS = 5
 MAX_CRASH_RECORDS = 256
 MAX_CRASHED_UPSTREAMS = 256
+MAX_LIMITS = 4096
+MAX_LIMIT_PER_S = 1e6
+MAX_PERMITS = 10**4
+MAX_PERMIT_WAIT_S = 1e7
 
 
 def check_report(report: MemberReport) -> None:
@@ -56,6 +62,8 @@
     _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
     _check_range(map(len, report.backed_off), MAX_NAME_LENGTH, "backed_off")
     _check_crashes(report.crashes)
+    _check_limits(report.limits)
+    _check_range([limit.waiting for limit in report.limits], MAX_COUNT, "waiting")
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
@@ -91,6 +99,10 @@
     _check(all(map(_is_key_range, notice.changes)), "key range")
     _check(all(map(_is_address, notice.relays)), "relays")
     _check_crashes(notice.crashes)
+    _check_limits(notice.quotas)
+    _check_range([quota.permits for quota in notice.quotas], MAX_PERMITS, "permits")
+    waits_s = [quota.wait_s for quota in notice.quotas]
+    _check_range(waits_s, MAX_PERMIT_WAIT_S, "wait for a permit")
 
 
 def _check_load(load: KeyLoad) -> None:
@@ -107,6 +119,17 @@
         _check_range(map(len, names), MAX_NAME_LENGTH, "names of a crash record")
 
 
+def _check_limits(limits: Sequence[LimitReport | Quota]) -> None:
+    _check(len(limits) <= MAX_LIMITS, "number of limits")
+    names = [len(limit.upstream) for limit in limits]
+    _check_range(names, MAX_NAME_LENGTH, "upstream of a limit")
+    _check_range([limit.born for limit in limits], MAX_BORN_MS, "start of a process")
+    # A limit may have been named any time ago.
+    _check_range([limit.age_s for limit in limits], inf, "age of a limit")
+    named = [limit.per_s for limit in limits if limit.per_s is not None]
+    _check_range(named, MAX_LIMIT_PER_S, "limit")
+
+
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(":")
     is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -30,6 +30,9 @@
 # Capacity assumed for an upstream that may not get requests, so that any key that it
 # owns counts as excess load.
 NO_CAPACITY = 1e-6
+# Seconds after an upstream has named a limit for which it gets no further keys. One
+# that has none left can't be heard to name no limit any more.
+LIMIT_MEMORY_S = 10.0
 # Minimum slowness used: a few fast answers don't show that an upstream is many times
 # faster than the others.
 MIN_SLOWNESS = 0.3
@@ -101,11 +104,21 @@
             is_failing = self._granter.is_failing(record.id, record.born)
             slowness = max(MIN_SLOWNESS, self._view.loads.get(record.id).slowness)
             is_cold = directory.remaining_warm_up_s(record.id, now) > 0.0
+            capacity = record.slots / slowness
+            limits, process = self._view.quotas.limits, (record.id, record.born)
+            limit_per_s = limits.find(process)
+            is_limited = False
+            if limit_per_s is not None:
+                work_s = self._key_loads.request_work_s
+                capacity = min(capacity, limit_per_s * work_s)
+                is_limited = now - limits.find_heard_at(process) < LIMIT_MEMORY_S
             owners[record.id] = Owner(
                 id=record.id,
                 born=record.born,
-                capacity=record.slots / slowness if may_work else NO_CAPACITY,
-                accepts_keys=may_work and not is_failing and not is_cold,
+                capacity=capacity if may_work else NO_CAPACITY,
+                accepts_keys=(
+                    may_work and not is_failing and not is_cold and not is_limited
+                ),
             )
         if not any(owner.accepts_keys for owner in owners.values()):
             if backed_off:
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -31,6 +31,10 @@
 MIN_UNOWNED_RETRY_S = 0.5
 # Seconds by which requests stay parked beyond the expected end of a handover.
 HANDOVER_MARGIN_S = 0.5
+# Number of times that a request may wait for a permit, and the maximum of that time in
+# seconds if another upstream can run it.
+MAX_PERMITS = 3
+MAX_UNKEYED_PATIENCE_S = 0.3
 # Maximum number of upstreams that the text of a rejection names.
 MAX_LISTED_UPSTREAMS = 3
 
@@ -88,21 +92,68 @@
         RefusedError
             If there is no such upstream.
         """
+        quotas = self._view.quotas
+        record = await self._find_candidate(call)
+        for _ in range(MAX_PERMITS):
+            if await quotas.acquire(
+                record, call.route.priority, self._choose_patience_s(call, record)
+            ):
+                if self._may_still_send(call, record):
+                    return record
+                quotas.give_back(record)
+            else:
+                call.excluded_upstreams.add(record.id)
+                if call.service.keyed or not self._list_candidates(call):
+                    break
+            record = await self._find_candidate(call)
+        detail = f"upstream {record.id} takes no more requests"
+        wait_s = quotas.estimate_wait_s(record, monotonic())
+        raise self.refuse_unserved(call, Reason.RATE_LIMITED, detail, wait_s)
+
+    def _choose_patience_s(self, call: Call, record: UpstreamRecord) -> float:
+        """Choose for how long a request may wait for a permit."""
+        if self._view.quotas.limits.find((record.id, record.born)) is None:
+            return 0.0
+        share = self._settings.admission.choose_share(call.route.priority, False)
+        limit_s = min(call.remaining_s, share * call.route.target_s)
+        patience_s = limit_s - self.estimate_work(call)
+        if not call.service.keyed and len(self._list_candidates(call)) > 1:
+            patience_s = min(patience_s, MAX_UNKEYED_PATIENCE_S)
+        return patience_s
+
+    def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
+        """Whether an upstream that was found before a wait may get the request."""
+        view = self._view
+        if view.quotas.limits.find((record.id, record.born)) is None:
+            return True
+        if self.is_backed_off(record):
+            return False
+        if not call.service.keyed or call.metadata.key is None:
+            return view.directory.accepts_requests(record)
+        key_range = view.find_owner(call.service.name, call.metadata.key)
+        owner = (record.id, record.born)
+        is_owner = key_range is not None and (key_range.owner, key_range.born) == owner
+        return is_owner and view.can_serve_keys(record)
+
+    async def _find_candidate(self, call: Call) -> UpstreamRecord:
         if call.service.keyed:
             return await self._find_owner(call)
-        candidates = [
+        candidates = self._exclude_backoffs(call, self._list_candidates(call))
+        # After an outage of the store, announcements may be missing although the
+        # upstreams run. These are used only if there are no others.
+        is_suspected = self._view.directory.is_suspected
+        confirmed = [record for record in candidates if not is_suspected(record.id)]
+        return self._choose_cheapest(call, confirmed or candidates)
+
+    def _list_candidates(self, call: Call) -> list[UpstreamRecord]:
+        """List the upstreams that may run a request without a key."""
+        return [
             record
             for record in self._view.directory
             if record.service == call.service.name
             and self._view.directory.accepts_requests(record)
             and record.id not in call.excluded_upstreams
         ]
-        candidates = self._exclude_backoffs(call, candidates)
-        # After an outage of the store, announcements may be missing although the
-        # upstreams run. These are used only if there are no others.
-        is_suspected = self._view.directory.is_suspected
-        confirmed = [record for record in candidates if not is_suspected(record.id)]
-        return self._choose_cheapest(call, confirmed or candidates)
 
     async def _find_owner(self, call: Call) -> UpstreamRecord:
         key = call.metadata.key
@@ -361,7 +412,10 @@
         loads = self._view.loads
         work_s = self.estimate_work(call)
         mean_s = self._mean_work_s.get(call.service.name, work_s)
-        wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, monotonic())
+        now = monotonic()
+        wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, now)
+        # A request that waits for a permit doesn't occupy the upstream meanwhile.
+        wait_s = max(wait_s, self._view.quotas.estimate_wait_s(record, now))
         return LatencyEstimate(
             wait_s=wait_s,
             work_s=work_s * loads.get(record.id).slowness,
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -102,7 +102,7 @@
         self.loads = UpstreamLoads(settings.load)
         self.backoffs = UpstreamBackoffs()
         self.crashes = CrashLedger()
-        self.quotas = UpstreamQuotas()
+        self.quotas = UpstreamQuotas(self.directory)
         self._changed = Event()
 
     def replace_table(self, table: str, view: TableRows, known_until: float) -> None:
@@ -200,6 +200,7 @@
             return False
         self.epoch = notice.epoch
         self._count_members(notice)
+        self.quotas.apply(notice.quotas, monotonic())
         if notice.complete:
             self.owners = {}
         self._apply_changes(notice.changes)
@@ -352,7 +353,7 @@
         write_event("upstream_gone", upstream=record.id, born=record.born)
         self._pools.close_idle(record)
         self.crashes.record_gone(record, monotonic())
-        self.quotas.limits.remove((record.id, record.born))
+        self.quotas.remove(record)
         if self.directory.get(record.id) is None:
             self.loads.remove(record.id)
             self._draining_since.pop(record.id, None)
@@ -430,8 +431,8 @@
             notice.members >= self.members
             or now - self._members_counted_at > MEMBER_COUNT_MEMORY_S
         ):
-            self.members = max(1, notice.members)
-            self.rank = notice.rank
+            self.members = self.quotas.members = max(1, notice.members)
+            self.rank = self.quotas.rank = notice.rank
             self._members_counted_at = now
 
     def _apply_loads(self, notice: CoordinatorNotice) -> None:
