End a term in an outage when upstreams have seen a successor's tokens

Asking all members that were known would close it at the price of the keyed service wherever an instance is lost in an outage.

But a successor grants all keys anew at once, so the upstreams that both reach refuse the earlier coordinator's renewals from then on. Two such refusals of the latest tokens end its term while the store gives it no answer: within one renewal interval, which is earlier than the successor counts the last grant as lapsed. One refusal isn't enough, since a token of the coordinator's own may arrive late.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -75,6 +75,9 @@
 # if no owner changes.
 WHOLE_MAP_CACHE_S = 0.1
 SLOWNESS_CACHE_S = 0.5
+# Upstreams that must have refused a renewal before a later coordinator is assumed. One
+# may have got a token late that this coordinator had used for a move.
+MIN_REFUSING_PROCESSES = 2
 # Minimum time in seconds between two new grants of a key range whose owner answers that
 # it doesn't own the keys.
 MIN_REGRANT_INTERVAL_S = 1.0
@@ -158,6 +161,7 @@
             settings.bounds.max_hold_s,
             lambda: self._term.is_valid,
         )
+        self._granter.on_refused = self._check_superseded
         self._normal_grant_duration_s = self._granter.grant_duration_s
         self._placements: dict[str, ServicePlacement] = {}
         self._row_versions: dict[str, int] = {}
@@ -175,7 +179,7 @@
             claimed_at,
             self._members,
             self.end,
-            self._reset_grant_duration,
+            self._handle_confirmed,
             self._handle_reclaimed,
         )
         self._cut_off_watch = CutOffWatch(
@@ -347,8 +351,19 @@
             self.end(f"task {name} failed")
             raise
 
-    def _reset_grant_duration(self) -> None:
+    def _handle_confirmed(self) -> None:
         self._granter.grant_duration_s = self._normal_grant_duration_s
+        self._granter.refusing_processes.clear()
+
+    def _check_superseded(self) -> None:
+        """
+        End the term in an outage if upstreams have tokens of a later coordinator.
+
+        An instance that this one doesn't hear may reach the store and take over.
+        """
+        refusing = self._granter.refusing_processes
+        if self._term.store_unreachable and len(refusing) >= MIN_REFUSING_PROCESSES:
+            self.end("upstreams refuse renewals, as they have seen later tokens")
 
     def _handle_reclaimed(self) -> None:
         # Members reject changes of a map of an earlier epoch.
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -52,6 +52,11 @@
         Grants whose renewal failed, so that they need a new fencing token.
     displaced_upstreams : list of UpstreamRecord
         Upstreams whose address is used by another process.
+    refusing_processes : set of (str, int)
+        Upstream processes that have refused to renew grants with the latest token, as
+        they have seen a higher one.
+    on_refused : callable
+        Called when a process is added to them.
     outcomes : CallOutcomes
         Whether upstreams answer the calls.
 
@@ -79,6 +84,8 @@
         self._failure_counts: dict[tuple[str, int], int] = {}
         self._locks: dict[tuple[str, int], Lock] = {}
         self.unrenewed: list[KeyRange] = []
+        self.refusing_processes: set[tuple[str, int]] = set()
+        self.on_refused: Callable[[], None] = _ignore
         self.displaced_upstreams: list[UpstreamRecord] = []
         self.outcomes = CallOutcomes(settings.cut_off_s)
         self.grant_duration_s = min(settings.hold_s, max_hold_s)
@@ -333,8 +340,16 @@
                 error=str(error),
             )
             granted = False
+            is_displaced = isinstance(error, UpstreamDisplacedError)
+            if not is_displaced and self._is_renewed(name, key_range):
+                self.refusing_processes.add((record.id, record.born))
+                self.on_refused()
         if not granted and self._is_renewed(name, key_range):
             self.unrenewed.append(key_range)
 
     def _is_renewed(self, name: tuple[str, int, int], key_range: KeyRange) -> bool:
         return self._renewed_grants.get(name, (None, None))[1] == key_range
+
+
+def _ignore() -> None:
+    pass
