--- a/packages/router/plantaincart_router/direct/tests/cutsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/cutsystem.py
@@ -12,6 +12,7 @@
 )
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
+from os import environ
 from random import randrange
 from socket import SO_LINGER, SO_REUSEADDR, SOL_SOCKET, socket
 from struct import pack
@@ -40,14 +41,22 @@
 WORK_S = 0.01
 # Below the usual range of ports for outgoing connections.
 FIXED_PORTS = (20000, 32000)
+# Each worker of the test run has ports of its own, and gives none out twice.
+MAX_WORKERS = 16
+given_ports = set()
 
 
 def find_fixed_port():
-    """Return a free port that no connection is given by the kernel meanwhile."""
+    """Return a free port that nobody else is given meanwhile, nor the kernel gives."""
+    worker = int(environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    first = FIXED_PORTS[0] + worker % MAX_WORKERS
     while True:
-        port = randrange(*FIXED_PORTS)
+        port = randrange(first, FIXED_PORTS[1], MAX_WORKERS)
+        if port in given_ports:
+            continue
         with socket() as probe, suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            given_ports.add(port)
             return port
 
 
