Share facts through one interface, and divide the selection of upstreams

The coordinator, the followers and the view each knew every fact that instances share: loads, slowness, named limits, crash records and relays. SharedFact (a member's side) and FactTerm (the coordinator's side for one term) now say what is reported, merged, told and forgotten; each fact has a module. The selection is divided into candidates, cost, admission, waiting for permits and rejection, so that new parts plug in beside them.

No change of behaviour is intended; messages keep their fields.

--- /dev/null
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -0,0 +1,95 @@
+"""Admission of requests to the upstream that would run them."""
+
+from abc import ABC, abstractmethod
+from time import monotonic
+
+from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
+from plantaincart_core.directory import UpstreamRecord
+
+from plantaincart_router.direct.call import Call
+from plantaincart_router.direct.cost import CostEstimator
+from plantaincart_router.direct.rejection import RejectionFactory
+from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.view import SystemView
+
+__all__ = ["AdmissionControl", "EntryPolicy"]
+
+
+class EntryPolicy(ABC):
+    """Rejects requests before an upstream is looked for."""
+
+    @abstractmethod
+    def check(self, call: Call, now: float) -> None:
+        """
+        Let a request pass, or reject it.
+
+        Parameters
+        ----------
+        call : Call
+            The request, before its first attempt.
+        now : float
+            Present time in seconds.
+
+        Raises
+        ------
+        RefusedError
+            If it must not be served now.
+        """
+
+
+class AdmissionControl:
+    """
+    Admits requests that can be answered in time at an upstream.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+        Settings of the instance.
+    view : SystemView
+        State of the system as this instance knows it.
+    costs : CostEstimator
+        Expected wait and duration.
+    rejections : RejectionFactory
+        Makes the errors for requests that aren't admitted.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        view: SystemView,
+        costs: CostEstimator,
+        rejections: RejectionFactory,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._costs = costs
+        self._rejections = rejections
+
+    def assess(
+        self, call: Call, record: UpstreamRecord
+    ) -> tuple[LatencyEstimate, Admission]:
+        """Return the expected times at an upstream, and the decision by them."""
+        expected = self._costs.estimate(call, record)
+        standing = self._view.loads.has_standing_queue(record.id, monotonic())
+        share = self._settings.admission.choose_share(call.route.priority, standing)
+        return expected, decide_admission(expected, share)
+
+    def admit(self, call: Call, record: UpstreamRecord) -> None:
+        """
+        Reject a request that would wait too long.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        record : UpstreamRecord
+            Upstream that would run it.
+
+        Raises
+        ------
+        RefusedError
+            If it isn't admitted.
+        """
+        expected, admission = self.assess(call, record)
+        if not admission.admitted:
+            raise self._rejections.refuse_overloaded(call, record, expected, admission)
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -3,6 +3,7 @@
 from asyncio import Lock, Task, TimerHandle, create_task, get_running_loop, sleep
 from collections.abc import Callable, Sequence
 from time import monotonic
+from typing import Any
 
 from plantaincart_core.era import is_epoch_of_era
 from plantaincart_core.ownermap import KeyRange
@@ -10,11 +11,9 @@
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
     CoordinatorRow,
-    CrashRecord,
     MapChange,
     MemberReport,
     OwnershipRow,
-    Quota,
     TableChange,
 )
 
@@ -22,13 +21,8 @@
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
-from plantaincart_router.direct.limitdivision import LimitDivision
 from plantaincart_router.direct.maphistory import MapHistory
-from plantaincart_router.direct.membership import (
-    INTRODUCTION_S,
-    Member,
-    Membership,
-)
+from plantaincart_router.direct.membership import Member, Membership
 from plantaincart_router.direct.noticecodec import pack_changes
 from plantaincart_router.direct.ownershiprow import (
     decode_ownership,
@@ -37,7 +31,7 @@
 from plantaincart_router.direct.ownershipwriter import OwnershipWriter
 from plantaincart_router.direct.placement import ServicePlacement
 from plantaincart_router.direct.settings import DirectSettings
-from plantaincart_router.direct.slowness import SlownessTracker
+from plantaincart_router.direct.sharedfact import NoticeScope
 from plantaincart_router.direct.store import (
     Store,
     StoreConflictError,
@@ -70,11 +64,9 @@
 # Share of the members that an upstream must have asked for a long pause before its keys
 # move. Below it, callers that are refused reach other instances on a retry.
 MIN_BACKED_OFF_SHARE = 0.5
-# Seconds for which the encoded whole map and the slowness of the upstreams are reused.
-# The map contains the seconds until unowned keys are free, so it becomes outdated even
-# if no owner changes.
+# Seconds for which the encoded whole map is reused. It contains the seconds until
+# unowned keys are free, so it becomes outdated even if no owner changes.
 WHOLE_MAP_CACHE_S = 0.1
-SLOWNESS_CACHE_S = 0.5
 # Upstreams that must have refused a renewal before a later coordinator is assumed. One
 # may have got a token late that this coordinator had used for a move.
 MIN_REFUSING_PROCESSES = 2
@@ -169,7 +161,7 @@
         self._sequence = 0
         self._map_history = MapHistory()
         self._members = Membership(self._times)
-        self._limit_division = LimitDivision(view.quotas)
+        self._fact_terms = [fact.open_term(self._members) for fact in view.facts]
         self._term = Term(
             self._times,
             store,
@@ -190,11 +182,8 @@
             self._members,
             self._resign_without_upstreams,
         )
-        self._slowness_tracker = SlownessTracker()
         self._regranted_at: dict[tuple[str, int], float] = {}
         self._cached_map = (-1, float("-inf"), b"")
-        self._cached_slowness: dict[str, float] = {}
-        self._slowness_cached_at = float("-inf")
         self._resumed = False
         self._unwritten: set[str] = set()
         # Services whose row was read and then written, or was first written, in this
@@ -296,14 +285,12 @@
         for upstream, born in report.leaving_upstreams.items():
             self._view.record_leaving(upstream, born)
         self._process_loads(report)
-        has_news = self._view.crashes.merge(report.crashes, monotonic())
-        has_news |= self._limit_division.record_report(report, monotonic())
-        if has_news:
+        now = monotonic()
+        has_news = [term.record_report(member, now) for term in self._fact_terms]
+        if any(has_news):
             self.announce()
-        loads = None
-        if self._members.needs_loads(member):
-            loads = self._members.pack_loads(monotonic())
-        self._notify(report.member, self._make_notice(report.member, loads))
+        notice = self._make_notice(report.member, answers_report=True)
+        self._notify(report.member, notice)
 
     def next_fencing_token(self) -> int:
         """Return a fencing token that is higher than all previous ones."""
@@ -533,7 +520,8 @@
     async def _place_once(self) -> None:
         now = monotonic()
         self._members.remove_silent(now)
-        self._limit_division.retain(self._members.list_names())
+        for term in self._fact_terms:
+            term.retain(self._members.list_names())
         self._decay(now)
         self._view.expire()
         await self._adopt_found_rows()
@@ -580,7 +568,6 @@
             if placement is not None:
                 work_s = [work / 1000.0 for work in load.work_ms]
                 placement.add_load(load.keys, work_s)
-        self._slowness_tracker.record(report.slowness)
         now = monotonic()
         for refused in report.refusing:
             placement = self._placements.get(refused.service)
@@ -596,32 +583,27 @@
                 self._granter.unrenewed.append(key_range)
 
     def _make_notice(
-        self,
-        name: str,
-        loads: bytes | None = None,
-        resigned: bool = False,
+        self, name: str, answers_report: bool = False, resigned: bool = False
     ) -> CoordinatorNotice:
         member = self._members.get(name)
         changes: list[MapChange] | None = []
-        slowness: dict[str, float] = {}
         tables: list[TableChange] = []
-        relays: list[str] = []
-        crashes: list[CrashRecord] = []
-        quotas: list[Quota] = []
-        if member is not None and not resigned:
-            quotas = self._limit_division.describe(name, monotonic())
+        fields: dict[str, Any] = {}
         if member is not None:
-            crashes = self._list_crashes(member)
-            if member.report.cut_off:
-                relays = self._members.choose_relays(name, monotonic())
+            scope = NoticeScope(
+                member=member,
+                now=monotonic(),
+                answers_report=answers_report,
+                resigned=resigned,
+            )
+            for term in self._fact_terms:
+                fields |= term.describe(scope)
             if self._resumed:
                 changes = self._map_history.list_since(
                     member.find_map_version(self.epoch)
                 )
             tables = self._list_table_changes(member)
             member.record_map_sent(self._map_history.version, changes is None)
-            if loads is not None and self._members.needs_slowness(member):
-                slowness = self._find_slowness()
         return CoordinatorNotice(
             coordinator=self._term.holder,
             epoch=self.epoch,
@@ -634,20 +616,11 @@
             doubt=self._term.store_unreachable,
             changes=changes or [],
             packed_changes=self._pack_map() if changes is None else None,
-            loads=loads,
-            slowness=slowness,
             tables=tables,
-            relays=relays,
-            crashes=crashes,
-            quotas=quotas,
             removals_wait_s=self._view.directory.removal_delay_s(monotonic()),
+            **fields,
         )
 
-    def _list_crashes(self, member: Member) -> list[CrashRecord]:
-        now = monotonic()
-        is_new = now - member.joined_at < INTRODUCTION_S
-        return self._view.crashes.list_told(now, is_new)
-
     def _list_table_changes(self, member: Member) -> list[TableChange]:
         """Describe the table changes that the member doesn't have yet."""
         changes: list[TableChange] = []
@@ -665,14 +638,6 @@
         member.record_tables_sent({change.table: change.version for change in changes})
         return changes
 
-    def _find_slowness(self) -> dict[str, float]:
-        now = monotonic()
-        if now - self._slowness_cached_at > SLOWNESS_CACHE_S:
-            services = {record.id: record.service for record in self._view.directory}
-            self._cached_slowness = self._slowness_tracker.compare(services)
-            self._slowness_cached_at = now
-        return self._cached_slowness
-
     def _pack_map(self) -> bytes:
         """Return the encoded whole map; encode it if the cached one is outdated."""
         now = monotonic()
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from random import Random
 from time import monotonic
+from typing import Any
 from uuid import uuid4
 
 from plantaincart_core.era import may_claim_term, next_epoch
@@ -81,9 +82,6 @@
     ----------
     feeds : sequence of TableFeed
         Feeds of the tables that the coordinator relays; must be set before the start.
-    relay_address : str
-        Host and port at which this instance relays requests of others; empty if it
-        doesn't.
     coordinator : Coordinator or None
         Current term of this instance, if it is the coordinator.
     """
@@ -126,7 +124,6 @@
         self._task: Task[None] | None = None
         self.coordinator: Coordinator | None = None
         self.feeds: Sequence[TableFeed] = ()
-        self.relay_address = ""
         # The notice that answers the report names the relays.
         view.reachability.on_change = self._report
         # The notice that answers it brings permits.
@@ -371,7 +368,11 @@
         settings, view = self._settings, self._view
         if self.coordinator is None and self._notice_socket is None:
             return
-        self._reported_at = monotonic()
+        now = self._reported_at = monotonic()
+        view.relay_fact.is_cut_off = self._is_cut_off()
+        fields: dict[str, Any] = {}
+        for fact in view.facts:
+            fields |= fact.describe(now, self._is_newly_connected())
         report = MemberReport(
             member=settings.name,
             incarnation=self._incarnation,
@@ -381,8 +382,6 @@
             store_silent_s=self._probe.measure_silence(),
             leaving=self._leaving,
             loads=view.pop_key_loads(),
-            in_flight=view.loads.list_in_flight(),
-            slowness=view.loads.drain_slowness(),
             refusing=view.pop_refused_keys(),
             tables={
                 feed.table: feed.version
@@ -390,12 +389,8 @@
                 if feed.version is not None
             },
             leaving_upstreams=view.list_leaving(),
-            backed_off=view.backoffs.list_long(view.directory, monotonic()),
-            cut_off=self._is_cut_off(),
-            relay_address=self.relay_address,
-            data_centre=settings.data_centre,
-            crashes=view.crashes.list_reported(monotonic(), self._is_newly_connected()),
-            limits=view.quotas.list_reports(monotonic()),
+            backed_off=view.backoffs.list_long(view.directory, now),
+            **fields,
         )
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -9,11 +9,16 @@
 from plantaincart_core.verdict import Reason, RefusedError, refuse_may_have_run
 from plantaincart_core.windowbudget import WindowRetryBudget
 
+from plantaincart_router.direct.admissioncontrol import AdmissionControl
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
+from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
+from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
 from plantaincart_router.direct.metrics import RouterMetrics
+from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.rejection import RejectionFactory
 from plantaincart_router.direct.relayserver import RelayHandler
 from plantaincart_router.direct.relaytransport import (
     RelayTransport,
@@ -92,11 +97,28 @@
         )
         self._pools = pools
         self._transport = ReroutingTransport(direct, relayed, view)
+        self._costs = CostEstimator(settings, view)
+        self._rejections = RejectionFactory(settings, view, self._transport)
+        self._candidates = CandidateFinder(
+            settings,
+            view,
+            [ColdFilter(view, cold_limiter)],
+            self._transport,
+            self._costs,
+            self._rejections,
+            metrics,
+        )
         self._selector = UpstreamSelector(
-            settings, view, cold_limiter, self._transport, metrics
+            settings,
+            view,
+            self._candidates,
+            self._costs,
+            AdmissionControl(settings, view, self._costs, self._rejections),
+            PermitWait(settings, view, self._costs, self._candidates),
+            self._rejections,
         )
         self._sender = UpstreamSender(
-            view, header_codec, self._transport, cold_limiter, self._selector, metrics
+            view, header_codec, self._transport, cold_limiter, self._costs, metrics
         )
         self.relay = RelayHandler(view, header_codec, direct, metrics)
         self.in_flight = 0
@@ -252,9 +274,9 @@
         self, call: Call, record: UpstreamRecord, error: NotRunError
     ) -> None:
         """Return if a request that didn't run may be retried; raise otherwise."""
-        if self._selector.is_backed_off(record):
+        if self._candidates.is_backed_off(record):
             if call.service.keyed:
-                raise self._selector.refuse_backed_off(call, [record])
+                raise self._rejections.refuse_backed_off(call, [record])
             if not error.was_received:
                 return
         if not error.was_received:
@@ -265,11 +287,11 @@
             )
             if may_retry and call.remaining_s > self._settings.send.least_left_s:
                 if call.service.keyed:
-                    await self._selector.wait_for_change(call, UNREACHABLE_WAIT_S)
+                    await self._candidates.wait_for_change(call, UNREACHABLE_WAIT_S)
                 return
-            raise self._selector.refuse_unreachable(call, record, str(error))
+            raise self._rejections.refuse_unreachable(call, record, str(error))
         elif error.misdirected and call.service.keyed:
-            await self._selector.wait_for_change(call, MISDIRECTED_WAIT_S)
+            await self._candidates.wait_for_change(call, MISDIRECTED_WAIT_S)
             if self._may_retry(call):
                 return
         elif call.service.keyed:
@@ -279,7 +301,7 @@
         elif self._may_retry(call):
             call.excluded_upstreams.add(record.id)
             return
-        raise self._selector.refuse_unserved(call, Reason.QUEUE_FULL, str(error), 0.3)
+        raise self._rejections.refuse_unserved(call, Reason.QUEUE_FULL, str(error), 0.3)
 
     def _may_retry(self, call: Call) -> bool:
         if call.service.keyed:
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -101,7 +101,7 @@
         await self._ready_server.start(settings.host, settings.ready_port)
         await self._metrics_server.start(settings.host, settings.metrics_port)
         relay_port = await self._relay_server.start(settings.host, settings.relay_port)
-        self.follower.relay_address = f"{settings.host}:{relay_port}"
+        self.view.relay_fact.address = f"{settings.host}:{relay_port}"
         self.follower.start(get_running_loop())
         self._tasks = [create_task(feed.follow()) for feed in self._feeds]
         self._tasks.append(create_task(self._run_maintenance()))
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from time import monotonic
 
-from plantaincart_core.loadcodec import pack_loads
 from plantaincart_schema.generated.direct import MemberReport
 
 from plantaincart_router.direct.settings import CoordinationSettings
@@ -11,14 +10,6 @@
 
 __all__ = ["INTRODUCTION_S", "Member", "Membership"]
 
-# Up to this many members, every notice contains the upstreams' loads; up to twice as
-# many, every second notice does, and so on. Every fourth notice with loads also
-# contains the upstreams' slowness.
-MEMBERS_PER_LOADS = 100
-SLOWNESS_EVERY = 4
-# Seconds per member for which the encoded loads are reused: 0.1 s with 100 members, so
-# that they are encoded ten times a second.
-LOADS_CACHE_S_PER_MEMBER = 0.001
 # Maximum number of relays that an instance is told. From the second number of relays in
 # its own data centre on, it is told no others.
 MAX_RELAYS = 4
@@ -122,9 +113,6 @@
         self._times = times
         self._members: dict[str, Member] = {}
         self._ranks: dict[str, int] = {}
-        self._in_flight: Counter[str] = Counter()
-        self._packed_loads = b""
-        self._loads_packed_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._members)
@@ -166,9 +154,6 @@
         if member is None:
             member = self._members[report.member] = Member(report, now)
             self._update_ranks()
-        else:
-            self._in_flight.subtract(member.report.in_flight)
-        self._in_flight.update(report.in_flight)
         member.report, member.last_report_at = report, now
         member.has_current_silence = True
         member.notices += 1
@@ -259,43 +244,10 @@
             and now - member.last_report_at < self._times.silent_s
         )
 
-    def pack_loads(self, now: float) -> bytes:
-        """
-        Encode the number of requests in progress at each upstream, over all members.
-
-        Parameters
-        ----------
-        now : float
-            Present time in seconds.
-
-        Returns
-        -------
-        bytes
-            Encoded by `plantaincart_core.loadcodec`.
-        """
-        if now - self._loads_packed_at > LOADS_CACHE_S_PER_MEMBER * len(self._members):
-            self._in_flight = +self._in_flight
-            self._packed_loads = pack_loads(self._in_flight)
-            self._loads_packed_at = now
-        return self._packed_loads
-
-    def needs_loads(self, member: Member) -> bool:
-        """Whether the next notice to a member contains the loads."""
-        return member.notices % self._count_notices_per_loads() == 0
-
-    def needs_slowness(self, member: Member) -> bool:
-        """Whether the next notice to a member contains the slowness of upstreams."""
-        interval = SLOWNESS_EVERY * self._count_notices_per_loads()
-        return member.notices % interval == 0
-
     def _remove(self, name: str) -> None:
         member = self._members.pop(name, None)
         if member is not None:
-            self._in_flight.subtract(member.report.in_flight)
             self._update_ranks()
 
     def _update_ranks(self) -> None:
         self._ranks = {name: rank for rank, name in enumerate(sorted(self._members))}
-
-    def _count_notices_per_loads(self) -> int:
-        return -(-len(self._members) // MEMBERS_PER_LOADS)
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -7,9 +7,9 @@
 
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
+from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
-from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.transport import (
     Attempt,
     AttemptTransport,
@@ -35,8 +35,8 @@
         Sends the requests.
     cold_limiter : ColdUpstreamLimiter
         Counts requests to cold upstreams.
-    selector : UpstreamSelector
-        Estimates the duration of requests.
+    costs : CostEstimator
+        Expected wait and duration of requests.
     metrics : RouterMetrics
         Counters and histograms.
     """
@@ -47,14 +47,14 @@
         header_codec: HeaderCodec,
         transport: AttemptTransport,
         cold_limiter: ColdUpstreamLimiter,
-        selector: UpstreamSelector,
+        costs: CostEstimator,
         metrics: RouterMetrics,
     ) -> None:
         self._view = view
         self._header_codec = header_codec
         self._transport = transport
         self._cold_limiter = cold_limiter
-        self._selector = selector
+        self._costs = costs
         self._metrics = metrics
 
     async def send(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
@@ -85,7 +85,7 @@
         loads = self._view.loads
         load = loads.get(record.id)
         in_progress = load.estimate_in_flight(monotonic(), loads.settings)
-        expected = self._selector.estimate(call, record)
+        expected = self._costs.estimate(call, record)
         load.in_flight += 1
         call.upstream = record.id
         sent_at = monotonic()
@@ -117,9 +117,9 @@
             record.id,
             now - sent_at,
             queued,
-            self._selector.default_work_s(call),
+            self._costs.default_work_s(call),
         )
-        self._selector.record_service_mean(call)
+        self._costs.record_answer(call)
         return self._header_codec.write_answer(answer)
 
     def _evaluate_not_run(
--- a/packages/router/plantaincart_router/direct/tests/cutsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/cutsystem.py
@@ -325,7 +325,7 @@
             if instance.follower.coordinator is not None:
                 members = instance.follower.coordinator._members
                 members.choose_relays = lambda name, now: []
-        address = self.instances[relay].follower.relay_address
+        address = self.instances[relay].view.relay_fact.address
         if address:
             self.instances[member].view.relays = (address,)
 
--- a/packages/router/plantaincart_router/direct/tests/test_relay_choice.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relay_choice.py
@@ -32,7 +32,7 @@
     """Guards against an instance that is cut off and knows no relay."""
     async with run_system(get_running_loop()) as system:
         for name, instance in system.instances.items():
-            instance.follower.relay_address = f"127.0.0.1:{len(name)}"
+            instance.view.relay_fact.address = f"127.0.0.1:{len(name)}"
         cut = next(
             instance
             for instance in system.instances.values()
--- a/packages/router/plantaincart_router/direct/tests/test_relayed_requests.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relayed_requests.py
@@ -195,7 +195,7 @@
         await cut_off(system)
         await cut_off(system, "whole")
         view = system.instances["whole"].view
-        view.relays = (system.instances["cut"].follower.relay_address,)
+        view.relays = (system.instances["cut"].view.relay_fact.address,)
         started_at = monotonic()
         answers = [await system.call(name, f"r-{name}") for name in ("cut", "whole")]
         assert monotonic() - started_at < 1.0
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -4,7 +4,6 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
-from plantaincart_core.loadcodec import unpack_loads
 from plantaincart_core.ownermap import KeyRange, OwnerMap
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
 from plantaincart_core.upstreamload import UpstreamLoads
@@ -16,13 +15,18 @@
 )
 
 from plantaincart_router.direct.backoff import UpstreamBackoffs
+from plantaincart_router.direct.crashfact import CrashFact
 from plantaincart_router.direct.crashledger import CrashLedger
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
+from plantaincart_router.direct.limitfact import LimitFact
+from plantaincart_router.direct.loadfact import LoadFact
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
+from plantaincart_router.direct.relayfact import RelayFact
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.sharedfact import SharedFact
 from plantaincart_router.direct.store import TableRows
 from plantaincart_router.direct.unowned import UnownedRanges
 from plantaincart_router.log import write_event
@@ -63,12 +67,14 @@
     ----------
     reachability : UpstreamReachability
         Whether this instance can connect to any upstream.
-    relays : tuple of str
-        Addresses of the relays that the coordinator named last.
     crashes : CrashLedger
         Requests under which upstreams have ended.
     quotas : UpstreamQuotas
         Limits that upstreams have named.
+    relay_fact : RelayFact
+        Relays, and whether this instance needs them.
+    facts : tuple of SharedFact
+        All that instances share through the coordinator, besides the map of owners.
     """
 
     def __init__(
@@ -90,7 +96,6 @@
         self.directory = UpstreamDirectory()
         self.reachability = pools.reachability
         self.reachability.directory = self.directory
-        self.relays: tuple[str, ...] = ()
         self.upstreams_loaded = False
         self.owners: dict[str, OwnerMap] = {}
         self.unowned = UnownedRanges()
@@ -103,8 +108,24 @@
         self.backoffs = UpstreamBackoffs()
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
+        self.relay_fact = RelayFact(settings.data_centre)
+        self.facts: tuple[SharedFact, ...] = (
+            self.relay_fact,
+            CrashFact(self.crashes),
+            LimitFact(self.quotas),
+            LoadFact(self.loads, self.directory),
+        )
         self._changed = Event()
 
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """Addresses of the relays that the coordinator named last."""
+        return self.relay_fact.relays
+
+    @relays.setter
+    def relays(self, relays: tuple[str, ...]) -> None:
+        self.relay_fact.relays = relays
+
     def replace_table(self, table: str, view: TableRows, known_until: float) -> None:
         """
         Apply a full read of a table.
@@ -193,21 +214,23 @@
         """
         if notice.epoch < self.epoch:
             return False
-        if notice.relays:
-            self.relays = tuple(notice.relays)
-        self.crashes.merge(notice.crashes, monotonic())
+        now = monotonic()
+        for fact in self.facts:
+            if not fact.needs_map:
+                fact.apply(notice, now)
         if notice.epoch > self.epoch and not notice.complete:
             return False
         self.epoch = notice.epoch
         self._count_members(notice)
-        self.quotas.apply(notice.quotas, monotonic())
+        for fact in self.facts:
+            if fact.needs_map:
+                fact.apply(notice, now)
         if notice.complete:
             self.owners = {}
         self._apply_changes(notice.changes)
         if notice.complete or notice.changes:
             self.map_version = notice.map_version
             self._wake_waiters()
-        self._apply_loads(notice)
         return True
 
     def find_owner(self, service: str, key: int) -> KeyRange | None:
@@ -352,10 +375,10 @@
     def _handle_upstream_gone(self, record: UpstreamRecord) -> None:
         write_event("upstream_gone", upstream=record.id, born=record.born)
         self._pools.close_idle(record)
-        self.crashes.record_gone(record, monotonic())
-        self.quotas.remove(record)
+        now = monotonic()
+        for fact in self.facts:
+            fact.forget_upstream(record, now)
         if self.directory.get(record.id) is None:
-            self.loads.remove(record.id)
             self._draining_since.pop(record.id, None)
             self._seen_active.discard(record.id)
 
@@ -435,15 +458,6 @@
             self.rank = self.quotas.rank = notice.rank
             self._members_counted_at = now
 
-    def _apply_loads(self, notice: CoordinatorNotice) -> None:
-        now = monotonic()
-        if notice.loads is not None:
-            slots = {record.id: record.slots for record in self.directory}
-            for upstream, total in unpack_loads(notice.loads, slots).items():
-                self.loads.record_in_flight(upstream, total, slots[upstream], now)
-        for upstream, slowness in notice.slowness.items():
-            self.loads.get(upstream).slowness = slowness
-
     def _wake_waiters(self) -> None:
         self._changed.set()
         self._changed = Event()
