Read an upstream's whole load statement, and give requests a rank

The slots and the slowdown of the moment in an upstream's load header were dropped. LoadStatement holds them; Rank orders requests by the priority of their account, then of their route. Nothing uses them yet.

--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from time import monotonic
 
+from plantaincart_core.rank import Rank
 from plantaincart_core.traffic import Route, ServicePolicy
 from plantaincart_core.verdict import Reason, Refusal, RefusedError, refuse_not_run
 
@@ -44,6 +45,8 @@
         Upstreams to which it must not be sent again.
     upstream : str
         Upstream to which it was sent last; empty before the first attempt.
+    account_priority : int
+        Priority of the caller's account; 0 without one.
     """
 
     request: HttpRequest
@@ -59,6 +62,12 @@
     failed_connects: int = 0
     excluded_upstreams: set[str] = field(default_factory=set)
     upstream: str = ""
+    account_priority: int = 0
+
+    @property
+    def rank(self) -> Rank:
+        """Rank of the request among those that compete for the same upstreams."""
+        return Rank(self.account_priority, self.route.priority)
 
     @property
     def remaining_s(self) -> float:
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "AnswerMetadata",
+    "LoadStatement",
     "RequestMetadata",
     "HeaderCodec",
     "GrantCalls",
@@ -54,6 +55,28 @@
     host: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadStatement:
+    """
+    What an upstream's answer states about its load.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests that it runs, and that wait for a concurrency slot.
+    slots : int
+        Requests that it can run concurrently; 0 if that isn't stated.
+    slowdown : float
+        Time that work takes on its machine at this moment, as a multiple of the usual
+        time.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerMetadata:
     """
@@ -67,8 +90,8 @@
         Whether another upstream uses the address, or the upstream doesn't own the key.
     answered_by : str
         Id of the upstream that answered; empty if the answer doesn't name it.
-    request_count : int or None
-        Number of requests at the upstream, running and waiting, if it is stated.
+    load : LoadStatement or None
+        Load of the upstream, if it is stated.
     idle_timeout_s : float or None
         Seconds for which the upstream keeps an idle connection, if it is stated.
     leaving : bool
@@ -84,12 +107,17 @@
     not_run: bool
     misdirected: bool
     answered_by: str
-    request_count: int | None
+    load: LoadStatement | None
     idle_timeout_s: float | None
     leaving: bool = False
     retry_after_s: float = 0.0
     limit_per_s: float | None = None
 
+    @property
+    def request_count(self) -> int | None:
+        """Number of requests at the upstream, running and waiting, if it is stated."""
+        return None if self.load is None else self.load.running + self.load.waiting
+
 
 class HeaderCodec(ABC):
     """Parses and writes the header fields of callers and upstreams."""
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -17,6 +17,7 @@
     GrantCalls,
     GrantRefusedError,
     HeaderCodec,
+    LoadStatement,
     PlatformReader,
     RequestMetadata,
     UpstreamDisplacedError,
@@ -81,6 +82,13 @@
     )
 
 
+def make_load(in_progress):
+    """Return the statement of a number of requests; None for none."""
+    if not in_progress:
+        return None
+    return LoadStatement(running=int(in_progress), waiting=0, slots=2)
+
+
 def make_plan(version=1, keyed=True, idempotent=True, timeout_s=1.0, attempts=2):
     route = Route(
         name="lookup",
@@ -408,7 +416,7 @@
             not_run=find_header(answer.headers, "not-run") is not None,
             misdirected=answer.status == 421,
             answered_by=find_header(answer.headers, "answered-by") or "",
-            request_count=int(in_progress) if in_progress else None,
+            load=make_load(in_progress),
             idle_timeout_s=None,
             retry_after_s=float(find_header(answer.headers, "retry-after") or 0.0),
             limit_per_s=float(limit) if limit else None,
