Divide the coordinator into term, owners' rows, placements and notices

No change of behaviour is intended. Tests name the moved table and the two properties that they read instead of private fields.

--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -5,7 +5,7 @@
 from time import monotonic
 
 from plantaincart_core.ownermap import KEY_COUNT
-from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
+from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.settings import ResourceSettings
 from plantaincart_router.direct.termrow import COORDINATOR_TABLE
 from plantaincart_router.direct.tests.fakes import FAST, make_record
@@ -294,7 +294,7 @@
     async with run_system(get_running_loop()) as system:
         old, lost = await replace_coordinator_during_an_owner_loss(system)
         coordinator = system.find_coordinator().follower.coordinator
-        await wait_for(lambda: coordinator._resumed)
+        await wait_for(lambda: coordinator.has_resumed)
         placement = coordinator._placements["ledger"]
         assert any(lost.owns(key) for key in SAMPLE_KEYS)
         row = placement.describe_row(coordinator.epoch, 0)
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator_cut_off.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator_cut_off.py
@@ -6,7 +6,7 @@
 
 import pytest
 from plantaincart_router.direct.calloutcome import FAILURE_MEMORY_S
-from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
+from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.settings import (
     CoordinationSettings,
     ResourceSettings,
--- a/packages/router/plantaincart_router/direct/tests/test_restored_store.py
+++ b/packages/router/plantaincart_router/direct/tests/test_restored_store.py
@@ -13,8 +13,8 @@
 from plantaincart_core.era import is_epoch_of_era, next_epoch
 from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEY_COUNT
-from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
 from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
+from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.store import StoreRow, TableRows
 from plantaincart_router.direct.termrow import (
--- a/packages/router/plantaincart_router/direct/tests/test_takeover.py
+++ b/packages/router/plantaincart_router/direct/tests/test_takeover.py
@@ -10,8 +10,8 @@
 
 from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEY_COUNT
-from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
 from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
+from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.tests.fakes import FAST, Grant
 from plantaincart_router.direct.tests.memorysystem import (
     OwnerWatch,
--- a/packages/router/plantaincart_router/direct/tests/test_two_owners_review.py
+++ b/packages/router/plantaincart_router/direct/tests/test_two_owners_review.py
@@ -11,8 +11,8 @@
 from plantaincart_core.era import first_epoch
 from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEY_COUNT
-from plantaincart_router.direct.coordinator import OWNERSHIP_TABLE
 from plantaincart_router.direct.ownershiprow import encode_ownership
+from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.termrow import (
     COORDINATOR_KEY,
     COORDINATOR_TABLE,
@@ -183,7 +183,7 @@
         await sleep(FAST.unchanged_s)
         system.store.refused_clients = set()
         await wait_for(lambda: successor.is_coordinator)
-        assert successor.follower.coordinator._last_grant_expiry() >= last_expiry
+        assert successor.follower.coordinator.last_earlier_expiry >= last_expiry
 
 
 async def test_long_grants_expected_by_a_process_started_after_an_outage():
@@ -202,7 +202,7 @@
         system.store.refused_clients = set()
         started = system.add(stopped.settings.name, get_running_loop())
         await wait_for(lambda: started.is_coordinator)
-        assert started.follower.coordinator._last_grant_expiry() >= last_expiry
+        assert started.follower.coordinator.last_earlier_expiry >= last_expiry
 
 
 async def test_term_counts_from_the_begin_of_its_claim():
