--- a/packages/router/plantaincart_router/direct/candidates.py
+++ b/packages/router/plantaincart_router/direct/candidates.py
@@ -66,8 +66,7 @@
         return self._limiter.allows_request(
             record.id,
             call.service.cold_requests_per_s,
-            view.members,
-            view.rank,
+            view.list_divisions(now),
             call.service.keyed,
             now,
         )
--- a/packages/router/plantaincart_router/direct/coldlimiter.py
+++ b/packages/router/plantaincart_router/direct/coldlimiter.py
@@ -1,8 +1,11 @@
 """Limit on the requests that one instance sends to a cold upstream."""
 
 from collections import deque
+from collections.abc import Sequence
 from zlib import crc32
 
+from plantaincart_core.fleetdivision import FleetDivision
+
 from plantaincart_router.direct.settings import BoundSettings
 
 __all__ = ["ColdUpstreamLimiter"]
@@ -14,7 +17,6 @@
 # joined. Requests with a key may use more, since no other upstream can run them.
 USED_SHARE = 0.8
 KEYED_USED_SHARE = 0.95
-MAX_SEND_TIMES = 64
 
 
 class ColdUpstreamLimiter:
@@ -29,18 +31,20 @@
     Notes
     -----
     Each instance may send a whole number of requests per second. If there are more
-    instances than requests, only some instances may send to a given upstream.
+    instances than requests, only some instances may send to a given upstream. While a
+    division of the limit replaces another, an instance may send what both allow.
 
     Examples
     --------
     >>> limiter = ColdUpstreamLimiter(BoundSettings(cold_ratio=1.0, cold_extra=0.0))
-    >>> limiter.allows_request("u1", 10.0, instances=2, rank=0, keyed=False, now=0.0)
+    >>> divisions = [FleetDivision(members=2, rank=0)]
+    >>> limiter.allows_request("u1", 10.0, divisions, keyed=False, now=0.0)
     True
     >>> for _ in range(4):
     ...     limiter.record("u1", now=0.0)
-    >>> limiter.allows_request("u1", 10.0, instances=2, rank=0, keyed=False, now=0.5)
+    >>> limiter.allows_request("u1", 10.0, divisions, keyed=False, now=0.5)
     False
-    >>> limiter.allows_request("u1", 10.0, instances=2, rank=0, keyed=False, now=1.5)
+    >>> limiter.allows_request("u1", 10.0, divisions, keyed=False, now=1.5)
     True
     """
 
@@ -50,15 +54,18 @@
 
     def record(self, upstream: str, now: float) -> None:
         """Count a request to an upstream."""
-        send_times = self._send_times.setdefault(upstream, deque(maxlen=MAX_SEND_TIMES))
+        if upstream not in self._send_times:
+            self._forget_idle(now)
+        send_times = self._send_times.setdefault(upstream, deque())
+        while send_times and now - send_times[0] >= WINDOW_S:
+            send_times.popleft()
         send_times.append(now)
 
     def allows_request(
         self,
         upstream: str,
         rate: float,
-        instances: int,
-        rank: int | None,
+        divisions: Sequence[FleetDivision],
         keyed: bool,
         now: float,
     ) -> bool:
@@ -71,10 +78,8 @@
             Id of the upstream.
         rate : float
             Requests per second that the upstream announces for its warm-up.
-        instances : int
-            Number of instances that share the limit.
-        rank : int or None
-            Rank of this instance among them; None if that isn't known.
+        divisions : sequence of FleetDivision
+            Divisions of the limit that may be in force at some instance; at least one.
         keyed : bool
             Whether the request has a key, so that no other upstream can run it.
         now : float
@@ -86,21 +91,16 @@
             Whether this instance may send it.
         """
         used_share = KEYED_USED_SHARE if keyed else USED_SHARE
-        allowed = self._share_of_instance(upstream, rate, used_share, instances, rank)
+        bounds = self._bounds
+        total = int((rate * bounds.cold_ratio + bounds.cold_extra) * used_share)
+        salt = crc32(upstream.encode())
+        allowed = min(division.find_share(total, salt) for division in divisions)
         send_times = self._send_times.get(upstream, ())
         return sum(1 for at in send_times if now - at < WINDOW_S) < allowed
 
-    def _share_of_instance(
-        self,
-        upstream: str,
-        rate: float,
-        used_share: float,
-        instances: int,
-        rank: int | None,
-    ) -> int:
-        if rank is None:
-            return 0
-        bounds = self._bounds
-        total = int((rate * bounds.cold_ratio + bounds.cold_extra) * used_share)
-        position = (rank + crc32(upstream.encode())) % instances
-        return total // instances + (1 if position < total % instances else 0)
+    def _forget_idle(self, now: float) -> None:
+        self._send_times = {
+            upstream: send_times
+            for upstream, send_times in self._send_times.items()
+            if now - send_times[-1] < WINDOW_S
+        }
--- a/packages/router/plantaincart_router/direct/permitwait.py
+++ b/packages/router/plantaincart_router/direct/permitwait.py
@@ -1,5 +1,7 @@
 """Waiting for a permit at upstreams that have named a limit."""
 
+from time import monotonic
+
 from plantaincart_core.directory import UpstreamRecord
 
 from plantaincart_router.direct.call import Call
@@ -56,6 +58,8 @@
             return True
         if self._candidates.is_backed_off(record):
             return False
+        if not self._candidates.is_allowed(call, record, monotonic()):
+            return False
         if not call.service.keyed or call.metadata.key is None:
             return view.directory.accepts_requests(record)
         key_range = view.find_owner(call.service.name, call.metadata.key)
--- a/packages/router/plantaincart_router/direct/tests/test_coldlimit.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coldlimit.py
@@ -1,9 +1,12 @@
 """Cold upstreams get no more from all instances together than they bear (FAILBACK)."""
 
+from asyncio import get_running_loop, sleep
+from time import monotonic
 from types import SimpleNamespace
 from zlib import crc32
 
 import pytest
+from plantaincart_core.fleetdivision import HANDOVER_S
 from plantaincart_router.direct import view as view_module
 from plantaincart_router.direct.candidates import ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
@@ -14,6 +17,7 @@
     make_record,
     make_settings,
 )
+from plantaincart_router.direct.tests.memorysystem import run_system
 from plantaincart_router.direct.view import SystemView
 from plantaincart_schema.generated.direct import CoordinatorNotice
 
@@ -138,3 +142,97 @@
     fleet.members.add("edge-2")
     fleet.run(COLD_S - 1.0 - STEP_S)
     assert 10 <= fleet.count_worst_second() <= BOUND
+
+
+def test_coordinator_changes_while_instances_hear_nothing(monkeypatch, keyed):
+    """A new coordinator knows few instances at first; some are cut off from it."""
+    fleet = Fleet(monkeypatch, 5, keyed)
+    fleet.restart_upstreams()
+    fleet.run(0.5)
+    fleet.deaf = {"edge-3"}
+    fleet.epoch, fleet.members = 2, {"edge-0", "edge-1"}
+    fleet.run(0.5)
+    fleet.members = {"edge-0", "edge-1", "edge-2", "edge-4"}
+    fleet.run(COLD_S - 1.0 - STEP_S)
+    assert 10 <= fleet.count_worst_second() <= BOUND
+
+
+def test_instances_that_hear_nothing_send_nothing_cold(monkeypatch, keyed):
+    """Two of five are cut off from the coordinator, and the others share the limit."""
+    fleet = Fleet(monkeypatch, 5, keyed)
+    fleet.deaf = {"edge-1", "edge-3"}
+    fleet.members -= fleet.deaf
+    fleet.run(10.0)
+    fleet.restart_upstreams()
+    fleet.run(1.0)
+    fleet.deaf = set()
+    fleet.members = set(fleet.entries)
+    fleet.run(COLD_S - 1.0 - STEP_S)
+    assert 10 <= fleet.count_worst_second() <= BOUND
+
+
+def test_replaced_process_has_forgotten_what_it_sent(monkeypatch, keyed):
+    """An instance is killed and back within a second, with the same rank."""
+    fleet = Fleet(monkeypatch, 3, keyed)
+    fleet.restart_upstreams()
+    fleet.run(0.5)
+    entry = fleet.entries["edge-0"] = Entry("edge-0", fleet, keyed)
+    for record in fleet.records:
+        entry.announce(record)
+    fleet.run(COLD_S - 0.5 - STEP_S)
+    assert 10 <= fleet.count_worst_second() <= BOUND
+
+
+def test_share_above_sixty_four_requests(monkeypatch):
+    """Two instances share a high limit: each has more units than it remembered."""
+    monkeypatch.setattr(__name__ + ".COLD_PER_S", 200.0)
+    fleet = Fleet(monkeypatch, 2, False)
+    fleet.restart_upstreams()
+    fleet.run(0.2)
+    assert 200 <= fleet.count_worst_second() <= 200.0 * 1.5 + 8.0
+
+
+async def test_coordinator_lost_and_instance_added_amid_a_cold_return():
+    """Five instances; the coordinator is killed, a sixth starts, another is cut off."""
+    loop = get_running_loop()
+    call = SimpleNamespace(
+        service=SimpleNamespace(cold_requests_per_s=COLD_PER_S, keyed=False)
+    )
+    limiters, sent = {}, []
+
+    async def send_for(duration_s):
+        until = monotonic() + duration_s
+        while monotonic() < until:
+            for name, instance in system.instances.items():
+                limiter = limiters.setdefault(name, ColdUpstreamLimiter(BOUNDS))
+                cold_filter = ColdFilter(instance.view, limiter)
+                for record in list(instance.view.directory):
+                    now = monotonic()
+                    while cold_filter.allows(call, record, now):
+                        limiter.record(record.id, now)
+                        sent.append((now, record.id))
+            await sleep(0.02)
+
+    async with run_system(loop, names=("r1", "r2", "r3", "r4", "r5")) as system:
+        await sleep(HANDOVER_S + 0.2)
+        for instance in system.instances.values():
+            for name in system.upstreams:
+                record = make_record(name, warmup_left_s=9.0)
+                instance.view.directory.put(record, monotonic())
+        await send_for(0.5)
+        system.kill(system.find_coordinator().settings.name)
+        await send_for(0.7)
+        added = system.add("r6", loop)
+        for name in system.upstreams:
+            record = make_record(name, warmup_left_s=9.0)
+            added.view.directory.put(record, monotonic())
+        await send_for(1.0)
+        deaf = next(
+            item for item in system.instances.values() if not item.is_coordinator
+        )
+        deaf.view.apply_notice = lambda notice: True
+        await send_for(HANDOVER_S + 0.5)
+    for upstream in system.upstreams:
+        times = [at for at, name in sent if name == upstream]
+        worst = max(sum(first <= at < first + 1.0 for at in times) for first in times)
+        assert 8 <= worst <= BOUND
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 import pytest
+from plantaincart_core.fleetdivision import FleetDivision
 from plantaincart_core.ownermap import KEY_COUNT, KeyRange, OwnerMap
 from plantaincart_router.direct.gateway import Gateway
 from plantaincart_router.direct.metrics import RouterMetrics
@@ -437,11 +438,11 @@
         view.directory.put(
             make_record("u0", port=port, warmup_left_s=3.0, born=2), monotonic()
         )
-        view.members, view.rank = 2, 0
+        view.list_divisions = lambda now: [FleetDivision(members=2, rank=0)]
         await gather(*(call_gateway(gateway, request_id=f"r{at}") for at in range(40)))
     bounds = BoundSettings()
     bound = 3.0 * bounds.cold_ratio + bounds.cold_extra
-    assert len(upstream.requests) <= bound / 2 + 1
+    assert 3 <= len(upstream.requests) <= bound / 2 + 1
 
 
 async def test_restarted_instance_sends_nothing_to_a_closed_data_centre():
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
+from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
 from plantaincart_core.ownermap import KeyRange, OwnerMap
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
 from plantaincart_core.upstreamload import UpstreamLoads
@@ -104,6 +105,7 @@
         self.members = 1
         self.rank: int | None = None
         self._members_counted_at = 0.0
+        self._divisions = DivisionHistory(settings.coordination.member_s)
         self.loads = UpstreamLoads(settings.load)
         self.backoffs = UpstreamBackoffs()
         self.crashes = CrashLedger()
@@ -233,6 +235,10 @@
             self._wake_waiters()
         return True
 
+    def list_divisions(self, now: float) -> list[FleetDivision]:
+        """Return the divisions of limits that may be in force at some instance."""
+        return self._divisions.list_recent(now)
+
     def find_owner(self, service: str, key: int) -> KeyRange | None:
         """Return the range of a key, or None before a map was received."""
         owners = self.owners.get(service)
@@ -457,6 +463,8 @@
             self.members = self.quotas.members = max(1, notice.members)
             self.rank = self.quotas.rank = notice.rank
             self._members_counted_at = now
+        division = FleetDivision(members=self.members, rank=self.rank)
+        self._divisions.record(division, now)
 
     def _wake_waiters(self) -> None:
         self._changed.set()
