Tell silent upstreams from slow ones, and repeat lookups elsewhere

Change: an attempt without a byte counts as silent once that is more likely than a slow answer, by the spread of response times and the share of silent attempts, where upstreams of the service were seen to fall silent. An idempotent request is then repeated once within the retry budget; the first answer is delivered. A non-idempotent one is never repeated and ends no sooner.

--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -35,6 +35,8 @@
         Arrival, and the deadline of the caller or the route, as times in seconds.
     attempts : int
         Number of times that the request was sent.
+    silent_attempts : int
+        Number of attempts in progress that no answer is expected to.
     sent : bool
         Whether any byte of it was sent.
     may_have_run : bool
@@ -57,6 +59,7 @@
     started_at: float
     deadline_at: float
     attempts: int = 0
+    silent_attempts: int = 0
     sent: bool = False
     may_have_run: bool = False
     failed_connects: int = 0
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.silence import SilenceSettings
 from plantaincart_core.traffic import pick_service
 from plantaincart_core.verdict import Reason, RefusedError, refuse_may_have_run
 from plantaincart_core.windowbudget import WindowRetryBudget
@@ -27,6 +28,7 @@
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.silenceguard import SilenceGuard
 from plantaincart_router.direct.transport import DirectTransport
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.caller import CallerConnection
@@ -73,6 +75,8 @@
         Requests of callers in progress.
     relay : RelayHandler
         Handles requests of instances that are cut off from the upstreams.
+    silence : SilenceGuard
+        Sends attempts, and repeats those that meet silence.
     """
 
     def __init__(
@@ -117,9 +121,18 @@
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
         )
-        self._sender = UpstreamSender(
+        sender = UpstreamSender(
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
         )
+        self.silence = SilenceGuard(
+            SilenceSettings(),
+            view,
+            sender,
+            self._selector,
+            self._costs,
+            metrics,
+            self._may_retry,
+        )
         self.relay = RelayHandler(view, header_codec, direct, metrics)
         self.in_flight = 0
 
@@ -164,7 +177,8 @@
             self.in_flight -= 1
 
     def close(self) -> None:
-        """Close the connections to other instances."""
+        """Close the connections to other instances, and end attempts left over."""
+        self.silence.close()
         self._transport.close()
 
     async def _wait_for_configuration(
@@ -219,7 +233,7 @@
             # The request may have waited, or ended an upstream.
             self._check_quarantine(call)
             try:
-                return await self._sender.send(call, record)
+                return await self.silence.send(call, record)
             except NotRunError as error:
                 self._metrics.count("attempts", call.service.name, "not-run")
                 write_event(
@@ -304,11 +318,12 @@
         raise self._rejections.refuse_unserved(call, Reason.QUEUE_FULL, str(error), 0.3)
 
     def _may_retry(self, call: Call) -> bool:
+        attempts = call.attempts + call.silent_attempts
         if call.service.keyed:
             # All attempts go to the same upstream, the owner of the key.
-            is_exhausted = call.attempts >= MAX_KEYED_ATTEMPTS
+            is_exhausted = attempts >= MAX_KEYED_ATTEMPTS
         else:
-            is_exhausted = call.attempts >= call.route.max_attempts
+            is_exhausted = attempts >= call.route.max_attempts
         if is_exhausted or call.caller.disconnected.is_set():
             return False
         work_s = self._view.loads.estimate_work_s(call.route.name, 0.0)
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -15,6 +15,7 @@
     "relayed": ("Requests sent through another instance", ("outcome",)),
     "relays": ("Requests sent to upstreams for other instances", ("outcome",)),
     "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
+    "silent": ("Attempts without a byte of an answer", ("service", "result")),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
 HISTOGRAMS = {
--- a/packages/router/plantaincart_router/direct/relaytransport.py
+++ b/packages/router/plantaincart_router/direct/relaytransport.py
@@ -192,8 +192,9 @@
         return await connection.exchange(
             write_relayed(request, record, remaining_s, attempt.idempotent),
             remaining_s,
-            None,
+            attempt.progress.record_sent,
             lambda answer: self._belongs(answer, attempt.request_id),
+            attempt.progress.record_started,
         )
 
     def _belongs(self, answer: HttpAnswer, request_id: str) -> bool:
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -12,6 +12,7 @@
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.transport import (
     Attempt,
+    AttemptProgress,
     AttemptTransport,
     record_leaving,
 )
@@ -57,7 +58,12 @@
         self._costs = costs
         self._metrics = metrics
 
-    async def send(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
+    async def send(
+        self,
+        call: Call,
+        record: UpstreamRecord,
+        progress: AttemptProgress | None = None,
+    ) -> HttpAnswer:
         """
         Send a request to an upstream once.
 
@@ -67,6 +73,8 @@
             The request.
         record : UpstreamRecord
             The upstream.
+        progress : AttemptProgress, optional
+            Written while the attempt goes on.
 
         Returns
         -------
@@ -93,7 +101,7 @@
         # this one waits for it.
         self._cold_limiter.record(record.id, sent_at)
         try:
-            answer = await self._exchange(call, record)
+            answer = await self._exchange(call, record, progress)
         except LostError as error:
             if error.timed_out:
                 waited_s = monotonic() - sent_at
@@ -147,12 +155,15 @@
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
 
-    async def _exchange(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
+    async def _exchange(
+        self, call: Call, record: UpstreamRecord, progress: AttemptProgress | None
+    ) -> HttpAnswer:
         attempt = Attempt(
             request=call.request,
             request_id=call.metadata.request_id,
             idempotent=call.route.idempotent,
             deadline_at=call.deadline_at,
+            progress=progress or AttemptProgress(),
         )
         try:
             answer = await self._transport.exchange(attempt, record)
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -0,0 +1,209 @@
+"""Requests to upstreams that never answer what they can't queue."""
+
+from asyncio import CancelledError, create_task, sleep, wait
+from time import monotonic
+
+import pytest
+from plantaincart_router.direct.silenceguard import SilenceListener
+from plantaincart_router.direct.tests.fakes import make_plan
+from plantaincart_router.direct.tests.test_gateway import (
+    Upstream,
+    answer,
+    call_gateway,
+    make_request,
+    run_gateway,
+    verdict,
+)
+from plantaincart_router.http.caller import CallerConnection
+
+
+def fall_silent():
+    """Never answer, nor anything else on the connection."""
+
+    async def script(reader, writer, request_id_sent):
+        while await reader.read(65536):
+            pass
+        raise ConnectionError
+
+    return script
+
+
+class Listener(SilenceListener):
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.heard = []
+
+    def record_silent(self, record, in_flight):
+        self.heard.append((record.id, in_flight))
+
+
+def show_silence(gateway, events=3):
+    """Make the instance believe that the service's upstreams fall silent."""
+    silence = gateway.silence._services.setdefault("ledger", _make_silence(gateway))
+    for _ in range(events):
+        silence.record_shown(monotonic())
+
+
+def _make_silence(gateway):
+    from plantaincart_core.silence import ServiceSilence
+
+    return ServiceSilence(gateway.silence._settings)
+
+
+def set_usual_time(view, seconds=0.02):
+    view.loads.record_work("lookup", "u9", seconds, False, seconds)
+
+
+def prefer_first(view):
+    """Make the second upstream look busy, so that requests go to the first."""
+    view.loads.get("u1").set_peer_in_flight(4, monotonic())
+
+
+async def test_silent_lookup_is_answered_by_another_upstream():
+    """The chosen upstream has no room in its queue and says nothing."""
+    full, other = Upstream(fall_silent()), Upstream()
+    async with run_gateway(full, other) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        response = await call_gateway(gateway)
+        assert (response.status, len(full.requests), len(other.requests)) == (200, 1, 1)
+        assert view.loads.get("u0").in_flight == 0
+        gateway.close()
+        await sleep(0.05)
+        assert view.loads.get("u0").in_flight == 0
+
+
+async def test_silent_connection_isn_t_used_again():
+    """Nothing that follows on a silent connection is answered either."""
+    full, other = Upstream(fall_silent()), Upstream()
+    async with run_gateway(full, other) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        await call_gateway(gateway)
+        for at in range(4):
+            response = await call_gateway(gateway, request_id=f"later{at}")
+            assert response.status == 200
+        assert len(gateway._pools._idle.get(("u0", 1), [])) <= 4
+        assert full.requests[0][1]["id"] == "r1"
+        gateway.close()
+
+
+async def test_late_first_answer_is_delivered():
+    """The first attempt was slow, and the second meets silence."""
+    slow, silent = Upstream(answer(body=b"first", delay_s=0.6)), Upstream(fall_silent())
+    async with run_gateway(slow, silent) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        response = await call_gateway(gateway)
+        assert (response.status, response.body) == (200, b"first")
+        assert len(silent.requests) == 1
+        gateway.close()
+
+
+async def test_one_repeat_at_most_while_an_attempt_goes_on():
+    """All upstreams are silent: a request must not fill all their queues."""
+    upstreams = [Upstream(fall_silent()) for _ in range(4)]
+    plan = make_plan(keyed=False, attempts=4)
+    async with run_gateway(*upstreams, plan=plan) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        response = await call_gateway(gateway)
+        assert response.status == 504
+        assert sum(len(upstream.requests) for upstream in upstreams) == 2
+
+
+async def test_non_idempotent_request_waits_until_its_deadline():
+    """Silence is no reason to end an answer sooner, nor to run a booking twice."""
+    silent, other = Upstream(answer(delay_s=0.5)), Upstream()
+    plan = make_plan(keyed=False, idempotent=False)
+    async with run_gateway(silent, other, plan=plan) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        response = await call_gateway(gateway)
+        assert (response.status, len(other.requests)) == (200, 0)
+        assert view.loads.get("u0").in_flight == 0
+
+
+async def test_non_idempotent_request_ends_with_a_true_verdict():
+    """The upstream may have run it: 504, and no promise."""
+    listener, silent = Listener(), Upstream(fall_silent())
+    plan = make_plan(keyed=False, idempotent=False)
+    async with run_gateway(silent, plan=plan) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        gateway.silence.listener = listener
+        started_at = monotonic()
+        response = await call_gateway(gateway, remaining_s=0.8)
+        assert monotonic() - started_at > 0.7
+    assert (response.status, verdict(response)) == (504, "may-have-run")
+    assert listener.heard == [("u0", 0.0)]
+
+
+async def test_keyed_lookup_goes_to_the_owner_again():
+    """Only the owner may run it, on another connection, once it has room."""
+    owner = Upstream(fall_silent(), answer())
+    plan = make_plan(keyed=True, attempts=2)
+    async with run_gateway(owner, plan=plan) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        response = await call_gateway(gateway)
+        assert (response.status, len(owner.requests)) == (200, 2)
+        gateway.close()
+
+
+@pytest.mark.parametrize("shown", [True, False])
+async def test_lookup_isn_t_repeated_if_its_answer_has_begun(shown):
+    """A download that takes long on a thin link is no silence."""
+
+    async def send_slowly(reader, writer, request_id_sent):
+        writer.write(f"HTTP/1.1 200 X\r\nid: {request_id_sent}\r\n".encode())
+        writer.write(b"content-length: 5\r\n\r\n")
+        for byte in b"whole":
+            await sleep(0.1)
+            writer.write(bytes([byte]))
+        return True
+
+    slow, other = Upstream(send_slowly), Upstream()
+    async with run_gateway(slow, other) as (gateway, view):
+        if shown:
+            show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        response = await call_gateway(gateway)
+        assert (response.status, response.body) == (200, b"whole")
+        assert not other.requests
+
+
+async def test_both_attempts_end_with_their_caller():
+    """Pattern give_up: no upstream stays at work for a caller that has gone."""
+    upstreams = [Upstream(fall_silent()) for _ in range(2)]
+    async with run_gateway(*upstreams) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        caller = CallerConnection()
+        task = create_task(gateway.handle(make_request(), caller))
+        await sleep(0.5)
+        assert [len(upstream.requests) for upstream in upstreams] == [1, 1]
+        caller.set_disconnected()
+        await wait({task}, timeout=0.2)
+        await sleep(0.05)
+        assert [upstream.closed for upstream in upstreams] == [1, 1]
+        with pytest.raises(CancelledError):
+            task.result()
+        assert [view.loads.get(name).in_flight for name in ("u0", "u1")] == [0, 0]
+
+
+async def test_silence_is_learnt_from_the_upstreams_alone():
+    """No setting says it: unanswered attempts, and ordinary answers to later ones."""
+    scripts = [fall_silent(), *[answer()] * 5] * 4
+    upstream = Upstream(*scripts)
+    async with run_gateway(upstream) as (gateway, view):
+        set_usual_time(view)
+        for at in range(12):
+            await call_gateway(gateway, request_id=f"r{at}", remaining_s=0.4)
+        assert gateway.silence._services["ledger"].has_shown(monotonic())
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -1,7 +1,7 @@
 """Transport of a single attempt to an upstream."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -21,6 +21,7 @@
 
 __all__ = [
     "Attempt",
+    "AttemptProgress",
     "AttemptTransport",
     "DirectTransport",
     "check_drain_bound",
@@ -29,6 +30,31 @@
 ]
 
 
+@dataclass(slots=True)
+class AttemptProgress:
+    """
+    How far an attempt has come.
+
+    Attributes
+    ----------
+    sent_at : float or None
+        Time in seconds at which the request was written; None before.
+    started_at : float or None
+        Time in seconds at which the head of its answer arrived; None before.
+    """
+
+    sent_at: float | None = None
+    started_at: float | None = None
+
+    def record_sent(self) -> None:
+        """Record that the request is written now."""
+        self.sent_at = monotonic()
+
+    def record_started(self) -> None:
+        """Record that the head of the answer has arrived."""
+        self.started_at = monotonic()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Attempt:
     """
@@ -44,12 +70,15 @@
         Whether the request may run more than once.
     deadline_at : float
         Deadline as a time in seconds.
+    progress : AttemptProgress
+        Written by the transport.
     """
 
     request: HttpRequest
     request_id: str
     idempotent: bool
     deadline_at: float
+    progress: AttemptProgress = field(default_factory=AttemptProgress)
 
     @property
     def remaining_s(self) -> float:
@@ -173,8 +202,9 @@
             answer = await connection.exchange(
                 request,
                 remaining_s,
-                lambda: self._check_before_write(record),
+                lambda: self._begin_write(attempt, record),
                 lambda answer: self._belongs(answer, attempt.request_id, record),
+                attempt.progress.record_started,
             )
         except NotRunError:
             connection.close()
@@ -213,11 +243,13 @@
         pools.return_connection(record, connection, metadata.idle_timeout_s)
         return answer
 
-    def _check_before_write(self, record: UpstreamRecord) -> None:
+    def _begin_write(self, attempt: Attempt, record: UpstreamRecord) -> None:
+        """Raise NotRunError if the upstream must get no request any more."""
         check_drain_bound(self._view, record)
         if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
             # Another request was rejected while the connection was opened.
             raise NotRunError("the upstream asked for a pause", False, False)
+        attempt.progress.record_sent()
 
     def _belongs(
         self, answer: HttpAnswer, request_id: str, record: UpstreamRecord
--- a/packages/router/plantaincart_router/http/codec.py
+++ b/packages/router/plantaincart_router/http/codec.py
@@ -96,6 +96,11 @@
         self._interim_answers = 0
         self._is_chunked = False
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of an incomplete answer has arrived."""
+        return self._head is not None
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes held for an incomplete answer, besides its head."""
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -69,6 +69,7 @@
             address, accepts_unframed, self._buffers.max_answer_bytes
         )
         self._matches_request: Callable[[HttpAnswer], bool] | None = None
+        self._notify_started: Callable[[], None] | None = None
         self._waiter: Future[HttpAnswer] | None = None
         self._closed = False
         self._send_timeout: SendTimeout | None = None
@@ -146,6 +147,7 @@
         timeout_s: float,
         before_write: Callable[[], None] | None = None,
         matches_request: Callable[[HttpAnswer], bool] | None = None,
+        notify_started: Callable[[], None] | None = None,
     ) -> HttpAnswer:
         """
         Send a request and wait for its complete answer.
@@ -162,6 +164,8 @@
         matches_request : callable, optional
             Returns whether an answer belongs to the request. Other answers are
             discarded.
+        notify_started : callable, optional
+            Called once when the head of the answer has arrived.
 
         Returns
         -------
@@ -200,6 +204,7 @@
                 self._send_timeout.start(len(data))
             transport.write(data)
             self._matches_request = matches_request
+            self._notify_started = notify_started
             self._waiter = waiter
             return await waiter
         except (OSError, RuntimeError) as error:
@@ -279,6 +284,11 @@
             self._fail_exchange(error)
             self._reset_connection()
             return
+        if self._notify_started is not None and (
+            answer is not None or self._codec.has_head
+        ):
+            self._notify_started()
+            self._notify_started = None
         if answer is None:
             if self._codec.buffered_bytes:
                 self._buffers.hold(self, self._codec.buffered_bytes)
