Share for which services upstreams fall silent

Cause: an instance sends few requests to each upstream, so that it alone would see silence too late.

--- a/packages/core/plantaincart_core/silence.py
+++ b/packages/core/plantaincart_core/silence.py
@@ -40,6 +40,8 @@
     confirm_s : float
         Seconds after sending an unanswered request within which an ordinary answer to
         a later one shows silence. An upstream that was slow may have recovered later.
+    told_s : float
+        Seconds for which it holds that other instances have seen silence.
     least_s : float
         Minimum time in seconds without an answer: several round trips.
     """
@@ -49,6 +51,7 @@
     shown_events: int = 2
     memory_s: float = 60.0
     confirm_s: float = 3.0
+    told_s: float = 20.0
     least_s: float = 0.05
 
 
@@ -161,14 +164,25 @@
         self._unanswered = 0.0
         self._shown = 0.0
         self._aged_at = -inf
+        self._told_until = -inf
         # Time of sending of the last unanswered attempt, by upstream process.
         self._suspected: dict[str, float] = {}
 
     def has_shown(self, now: float) -> bool:
         """Return whether upstreams of the service fall silent."""
-        self._age(now)
+        if now < self._told_until:
+            return True
         # Two events within a third of the half-life count as two.
-        return self._shown >= 0.75 * self._settings.shown_events
+        return self.count_shown(now) >= 0.75 * self._settings.shown_events
+
+    def count_shown(self, now: float) -> float:
+        """Return the number of silences that this instance has seen lately."""
+        self._age(now)
+        return self._shown
+
+    def record_told(self, now: float) -> None:
+        """Record that other instances have seen silence at the service."""
+        self._told_until = now + self._settings.told_s
 
     def record_answer(self, wait: Wait) -> bool:
         """
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -5,7 +5,6 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
-from plantaincart_core.silence import SilenceSettings
 from plantaincart_core.traffic import pick_service
 from plantaincart_core.verdict import Reason, RefusedError, refuse_may_have_run
 from plantaincart_core.windowbudget import WindowRetryBudget
@@ -125,7 +124,6 @@
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
         )
         self.silence = SilenceGuard(
-            SilenceSettings(),
             view,
             sender,
             self._selector,
--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -7,7 +7,7 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
-from plantaincart_core.silence import ServiceSilence, SilenceSettings, Wait
+from plantaincart_core.silence import ServiceSilence, Wait
 from plantaincart_core.upstreamload import UpstreamLoad
 from plantaincart_core.verdict import RefusedError
 
@@ -81,8 +81,6 @@
 
     Parameters
     ----------
-    settings : SilenceSettings
-        When an attempt counts as silent.
     view : SystemView
         State of the system as this instance knows it.
     sender : UpstreamSender
@@ -109,7 +107,6 @@
 
     def __init__(
         self,
-        settings: SilenceSettings,
         view: SystemView,
         sender: UpstreamSender,
         selector: UpstreamSelector,
@@ -117,14 +114,12 @@
         metrics: RouterMetrics,
         may_repeat: Callable[[Call], bool],
     ) -> None:
-        self._settings = settings
         self._view = view
         self._sender = sender
         self._selector = selector
         self._costs = costs
         self._metrics = metrics
         self._may_repeat = may_repeat
-        self._services: dict[str, ServiceSilence] = {}
         self._background: set[Task[HttpAnswer]] = set()
         self.listener: SilenceListener | None = None
 
@@ -338,11 +333,7 @@
         )
 
     def _find_silence(self, call: Call) -> ServiceSilence:
-        name = call.service.name
-        silence = self._services.get(name)
-        if silence is None:
-            silence = self._services[name] = ServiceSilence(self._settings)
-        return silence
+        return self._view.silence_fact.find(call.service.name)
 
 
 def _retrieve_exception(task: Task[HttpAnswer]) -> None:
--- a/packages/router/plantaincart_router/direct/tests/test_silence.py
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -40,17 +40,11 @@
 
 def show_silence(gateway, events=3):
     """Make the instance believe that the service's upstreams fall silent."""
-    silence = gateway.silence._services.setdefault("ledger", _make_silence(gateway))
+    silence = gateway._view.silence_fact.find("ledger")
     for _ in range(events):
         silence.record_shown(monotonic())
 
 
-def _make_silence(gateway):
-    from plantaincart_core.silence import ServiceSilence
-
-    return ServiceSilence(gateway.silence._settings)
-
-
 def set_usual_time(view, seconds=0.02):
     view.loads.record_work("lookup", "u9", seconds, False, seconds)
 
@@ -206,4 +200,4 @@
         set_usual_time(view)
         for at in range(12):
             await call_gateway(gateway, request_id=f"r{at}", remaining_s=0.4)
-        assert gateway.silence._services["ledger"].has_shown(monotonic())
+        assert view.silence_fact.find("ledger").has_shown(monotonic())
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -5,6 +5,7 @@
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.ownermap import KeyRange, OwnerMap
+from plantaincart_core.silence import SilenceSettings
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
 from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import (
@@ -27,6 +28,7 @@
 from plantaincart_router.direct.relayfact import RelayFact
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
+from plantaincart_router.direct.silencefact import SilenceFact
 from plantaincart_router.direct.store import TableRows
 from plantaincart_router.direct.unowned import UnownedRanges
 from plantaincart_router.log import write_event
@@ -73,6 +75,8 @@
         Limits that upstreams have named.
     relay_fact : RelayFact
         Relays, and whether this instance needs them.
+    silence_fact : SilenceFact
+        Services whose upstreams fall silent.
     facts : tuple of SharedFact
         All that instances share through the coordinator, besides the map of owners.
     """
@@ -109,8 +113,10 @@
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
+        self.silence_fact = SilenceFact(SilenceSettings())
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
+            self.silence_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
