Bound what an instance holds, and write large answers in pieces

Cause: the limits of answers were 64 MiB whatever the machine, what callers didn't read wasn't counted, and a download of 540 KB kept a link of 10 Mbit/s busy for 430 ms. Change: request bodies, answers in progress and answers not yet taken are counted together and bounded by the machine's memory; a request whose answer doesn't fit is refused before it is sent, large kinds first; reading pauses for a second at most; large answers are written in pieces by the link's speed.

--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -10,6 +10,7 @@
 from plantaincart_core.windowbudget import WindowRetryBudget
 
 from plantaincart_router.direct.admissioncontrol import AdmissionControl
+from plantaincart_router.direct.answermemory import AnswerMemory
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
@@ -99,6 +100,7 @@
             view, header_codec, settings.send, metrics, pools.buffers
         )
         self._pools = pools
+        self._answer_memory = AnswerMemory(pools.buffers.held_bytes)
         self._transport = ReroutingTransport(direct, relayed, view)
         self._costs = CostEstimator(settings, view)
         self._rejections = RejectionFactory(settings, view, self._transport)
@@ -131,7 +133,9 @@
             metrics,
             self._may_retry,
         )
-        self.relay = RelayHandler(view, header_codec, direct, metrics)
+        self.relay = RelayHandler(
+            view, header_codec, direct, metrics, self._answer_memory
+        )
         self.in_flight = 0
 
     async def handle(
@@ -162,7 +166,9 @@
         try:
             await self._wait_for_configuration(metadata, started_at)
             call = self._start_call(request, metadata, caller, started_at)
-            answer = await self._run(call)
+            with self._answer_memory.reserve(call.route.name):
+                answer = await self._run(call)
+            self._answer_memory.record_answer(call.route.name, len(answer.body))
             self._log_request_end(metadata, call, answer.status, "answered", "")
             return answer
         except RefusedError as error:
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -6,6 +6,7 @@
 
 from plantaincart_schema.generated.settings import EntrySettings
 
+from plantaincart_router.direct.answermemory import make_buffers
 from plantaincart_router.direct.clock import SuspensionMonitor
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.follower import Follower
@@ -18,6 +19,7 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.caller import CallerConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
+from plantaincart_router.http.pacing import BulkPacer
 from plantaincart_router.http.server import HttpServer
 from plantaincart_router.log import write_event
 
@@ -64,15 +66,21 @@
         self._settings = settings
         self._platform = platform
         self._ready_target = ready_target
-        self._pools = pools or UpstreamPools(settings.send)
+        self._pools = pools or UpstreamPools(
+            settings.send, make_buffers(settings.send, settings.resources)
+        )
+        held = self._pools.buffers.held_bytes
+        pacer = BulkPacer(get_running_loop(), settings.resources.link_mbps)
         self.view = SystemView(settings, platform.reader, self._pools)
         self.metrics = RouterMetrics(self._read_gauges)
         self.gateway = Gateway(
             settings, self.view, platform.header_codec, self._pools, self.metrics
         )
-        self._front_server = HttpServer(INITIAL_LIMITS, self.gateway.handle)
+        self._front_server = HttpServer(
+            INITIAL_LIMITS, self.gateway.handle, held, pacer
+        )
         self._relay_server = HttpServer(
-            _allow_relay_fields(INITIAL_LIMITS), self.gateway.relay.handle
+            _allow_relay_fields(INITIAL_LIMITS), self.gateway.relay.handle, held, pacer
         )
         self._ready_server = HttpServer(INITIAL_LIMITS, self._answer_ready)
         self._metrics_server = HttpServer(INITIAL_LIMITS, self._answer_metrics)
@@ -170,6 +178,10 @@
         ranges = sum(len(owners) for owners in view.owners.values())
         return {
             "in_flight": ("Requests held", float(self.gateway.in_flight)),
+            "held_bytes": (
+                "Bytes held for callers and upstreams",
+                float(self._pools.buffers.held_bytes.total),
+            ),
             "upstreams": ("Upstreams known", float(len(view.directory))),
             "plan_version": (
                 "Configuration in force",
--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -35,6 +35,8 @@
     ----------
     settings : SendSettings
         Timeouts for connecting and for idle connections, and limits of answers.
+    buffers : AnswerBuffers, optional
+        Limits of incomplete answers; by default those of `settings`.
 
     Attributes
     ----------
@@ -46,11 +48,13 @@
         Limits of incomplete answers.
     """
 
-    def __init__(self, settings: SendSettings) -> None:
+    def __init__(
+        self, settings: SendSettings, buffers: AnswerBuffers | None = None
+    ) -> None:
         self._settings = settings
         self.connect_failures = ConnectFailures()
         self.reachability = UpstreamReachability()
-        self.buffers = AnswerBuffers(
+        self.buffers = buffers or AnswerBuffers(
             settings.max_answer_bytes, settings.max_buffered_bytes
         )
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
--- a/packages/router/plantaincart_router/direct/relayserver.py
+++ b/packages/router/plantaincart_router/direct/relayserver.py
@@ -4,7 +4,9 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.verdict import RefusedError
 
+from plantaincart_router.direct.answermemory import AnswerMemory
 from plantaincart_router.direct.call import LostError, NotRunError
 from plantaincart_router.direct.interface import HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
@@ -36,6 +38,8 @@
         Sends the requests; never through a further relay.
     metrics : RouterMetrics
         Counters and histograms.
+    answer_memory : AnswerMemory
+        Room for answers, shared with the requests of callers.
 
     Notes
     -----
@@ -50,7 +54,9 @@
         header_codec: HeaderCodec,
         transport: DirectTransport,
         metrics: RouterMetrics,
+        answer_memory: AnswerMemory,
     ) -> None:
+        self._answer_memory = answer_memory
         self._view = view
         self._header_codec = header_codec
         self._transport = transport
@@ -98,6 +104,8 @@
         task = current_task()
         if wanted.idempotent and task is not None:
             caller.set_disconnect_callback(lambda: _cancel(task))
+        # Routes are decided by the instance that the caller is connected to.
+        kind = f"relayed to {record.service}"
         attempt = Attempt(
             request=plain_request,
             request_id=self._header_codec.read_request(plain_request).request_id,
@@ -105,7 +113,11 @@
             deadline_at=started_at + wanted.remaining_s,
         )
         try:
-            answer = await self._transport.exchange(attempt, record)
+            with self._answer_memory.reserve(kind):
+                answer = await self._transport.exchange(attempt, record)
+        except RefusedError as error:
+            # Nothing was sent, and another instance may have room.
+            return RelayOutcome.DECLINED, None, str(error)
         except NotRunError as error:
             return RelayOutcome.UNREACHED, None, str(error)
         except LostError as error:
@@ -115,6 +127,7 @@
             elif error.closed_at_once:
                 outcome = RelayOutcome.CLOSED_AT_ONCE
             return outcome, None, str(error)
+        self._answer_memory.record_answer(kind, len(answer.body))
         return RelayOutcome.ANSWERED, self._header_codec.write_answer(answer), ""
 
     def _find_upstream(self, wanted: RelayedAttempt) -> UpstreamRecord | None:
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -67,6 +67,8 @@
         Number of processor cores; may be a fraction.
     link_mbps : float
         Speed of its network link in Mbit/s.
+    memory_mb : float
+        Memory in MB above which the process is ended; 0 if it isn't known.
     wanted_cores, wanted_link_mbps : float
         Resources with which a coordinator isn't slowed down. They suffice for some 80
         instances and 120 upstreams: 300 reports and 400 grants per second, and whole
@@ -75,6 +77,7 @@
 
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 0.0
     wanted_cores: float = 0.8
     wanted_link_mbps: float = 50.0
 
--- a/packages/router/plantaincart_router/http/answerbuffers.py
+++ b/packages/router/plantaincart_router/http/answerbuffers.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 
+from plantaincart_router.http.heldbytes import HeldBytes, HeldKind
+
 __all__ = ["AnswerBuffers", "AnswerHolder"]
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -26,6 +28,10 @@
         Maximum size in bytes of the body of one answer.
     max_total_bytes : int
         Maximum size in bytes of all incomplete answers together.
+    held : HeldBytes, optional
+        Count of all bytes that the instance holds.
+    receive_window : int
+        Size in bytes of the receive buffer of connections; 0 for the system's.
 
     Notes
     -----
@@ -50,9 +56,13 @@
         self,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         max_total_bytes: int = MAX_TOTAL_BYTES,
+        held: HeldBytes | None = None,
+        receive_window: int = 0,
     ) -> None:
         self.max_answer_bytes = max_answer_bytes
         self.max_total_bytes = max_total_bytes
+        self.held_bytes = held or HeldBytes()
+        self.receive_window = receive_window
         self.total_bytes = 0
         self._held: dict[AnswerHolder, int] = {}
 
@@ -67,13 +77,21 @@
         byte_count : int
             All bytes held for it at present.
         """
-        self.total_bytes += byte_count - self._held.get(holder, 0)
+        added = byte_count - self._held.get(holder, 0)
+        self.total_bytes += added
+        self.held_bytes.add(HeldKind.INCOMING, added)
         self._held[holder] = byte_count
-        while self.total_bytes > self.max_total_bytes:
+        while self._held and self._is_above_limit:
             largest = max(self._held, key=self._held.__getitem__)
             self.release(largest)
             largest.discard_answer()
 
     def release(self, holder: AnswerHolder) -> None:
         """Record that nothing is held any more for an answer."""
-        self.total_bytes -= self._held.pop(holder, 0)
+        byte_count = self._held.pop(holder, 0)
+        self.total_bytes -= byte_count
+        self.held_bytes.remove(HeldKind.INCOMING, byte_count)
+
+    @property
+    def _is_above_limit(self) -> bool:
+        return self.total_bytes > self.max_total_bytes or not self.held_bytes.fits(0)
--- a/packages/router/plantaincart_router/http/caller.py
+++ b/packages/router/plantaincart_router/http/caller.py
@@ -6,7 +6,9 @@
 
 from plantaincart_schema.generated.settings import EntrySettings
 
+from plantaincart_router.http.heldbytes import HeldBytes
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
+from plantaincart_router.http.pacing import BulkPacer
 
 __all__ = ["CallerConnection", "Closable", "ConnectionOwner", "Handler"]
 
@@ -82,12 +84,18 @@
         Event loop of the server.
     closing : bool
         Whether each connection is closed after its next answer.
+    held : HeldBytes
+        Count of all bytes that the instance holds.
+    pacer : BulkPacer or None
+        Paces large answers; None to write them at once.
     """
 
     limits: EntrySettings
     handler: Handler
     loop: AbstractEventLoop
     closing: bool
+    held: HeldBytes
+    pacer: BulkPacer | None
 
     @abstractmethod
     def add(self, connection: Closable) -> bool:
--- a/packages/router/plantaincart_router/http/clientsocket.py
+++ b/packages/router/plantaincart_router/http/clientsocket.py
@@ -7,6 +7,7 @@
     IPPROTO_TCP,
     SO_KEEPALIVE,
     SO_LINGER,
+    SO_RCVBUF,
     SOCK_STREAM,
     SOL_SOCKET,
     TCP_KEEPCNT,
@@ -42,7 +43,7 @@
 RESET_ON_CLOSE = pack("ii", 1, 0)
 
 
-def make_socket(host: str) -> socket:
+def make_socket(host: str, receive_window: int = 0) -> socket:
     """
     Make a socket for a client connection.
 
@@ -50,6 +51,9 @@
     ----------
     host : str
         IP address of the server.
+    receive_window : int
+        Bytes that the server may send without their being read; 0 for as many as the
+        system chooses.
 
     Returns
     -------
@@ -59,6 +63,8 @@
     tcp_socket = socket(AF_INET6 if ":" in host else AF_INET, SOCK_STREAM)
     tcp_socket.setblocking(False)
     tcp_socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    if receive_window:
+        tcp_socket.setsockopt(SOL_SOCKET, SO_RCVBUF, receive_window)
     tcp_socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
--- a/packages/router/plantaincart_router/http/connection.py
+++ b/packages/router/plantaincart_router/http/connection.py
@@ -26,6 +26,7 @@
 )
 from plantaincart_core.verdict import Reason, Refusal, RefusedError, Verdict
 
+from plantaincart_router.http.answerwriter import AnswerWriter
 from plantaincart_router.http.caller import CallerConnection, Closable, ConnectionOwner
 from plantaincart_router.http.framing import (
     BODILESS_STATUSES,
@@ -34,6 +35,7 @@
 )
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 from plantaincart_router.http.problem import HANDLER_FAILED, render_problem
+from plantaincart_router.http.requestbody import RequestBody
 from plantaincart_router.http.timeout import ReschedulableTimeout
 
 __all__ = ["ServerConnection"]
@@ -41,6 +43,8 @@
 # Time for which input is discarded after a rejection, see `ServerConnection`.
 LINGER_S = 1.0
 RETRY_AFTER_S = 1.0
+# Longest time for writing one answer, as a multiple of that for one piece of it.
+SLOW_READERS = 4
 
 
 class _State(Enum):
@@ -77,12 +81,12 @@
         self._caller = CallerConnection()
         self._state = _State.IDLE
         self._request: Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = RequestBody(owner.held)
         self._unread_bytes = 0
-        self._writable = True
         self._transport: Transport
+        self._writer: AnswerWriter
         self._task: Task[None] | None = None
+        self._written_until = 0.0
         self._timeout = ReschedulableTimeout(owner.loop, self._check_timeout)
         self._active_at = owner.loop.time()
 
@@ -105,6 +109,9 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Register with the server; reject if it has too many connections."""
         self._transport = cast(Transport, transport)
+        self._writer = AnswerWriter(
+            self._owner, self._transport, self._start_next, self._extend_writing
+        )
         if self._owner.add(self):
             self._timeout.set(self._limits.idle_timeout_s)
             return
@@ -116,6 +123,9 @@
         self._state = _State.CLOSING
         self._timeout.stop()
         self._owner.remove(self)
+        self._writer.close()
+        if self._task is None or self._task.done():
+            self._body.release()
         self._caller.set_disconnected()
 
     def eof_received(self) -> bool:
@@ -139,11 +149,11 @@
 
     def pause_writing(self) -> None:
         """Delay the next request while the caller doesn't read its answer."""
-        self._writable = False
+        self._writer.pause()
 
     def resume_writing(self) -> None:
-        """Continue with the next request."""
-        self._writable = True
+        """Continue with the answer, or with the next request."""
+        self._writer.resume()
         if self._state is _State.WRITING:
             self._start_next()
 
@@ -196,12 +206,20 @@
         length = next(
             (int(value) for name, value in head.headers if name == b"content-length"), 0
         )
-        return self._check_body_size(length)
+        return self._check_body_size(length) and self._check_memory(length)
 
     def _append_body(self, data: bytes) -> bool:
+        if not self._check_memory(len(data)):
+            return False
         self._body.append(data)
-        self._body_bytes += len(data)
-        return self._check_body_size(self._body_bytes)
+        return self._check_body_size(self._body.byte_count)
+
+    def _check_memory(self, byte_count: int) -> bool:
+        if self._owner.held.fits(byte_count):
+            return True
+        reason = Reason.TOO_MANY_REQUESTS_IN_FLIGHT
+        self._refuse(503, reason, "no memory for the request", RETRY_AFTER_S)
+        return False
 
     def _check_body_size(self, size: int) -> bool:
         limit = self._limits.max_body_bytes
@@ -216,9 +234,8 @@
             head.method.decode("ascii"),
             head.target.decode("ascii"),
             decode_headers(head.headers),
-            b"".join(self._body),
+            self._body.take(),
         )
-        self._body, self._body_bytes = [], 0
         self._unread_bytes = 0
         self._state = _State.RUNNING
         self._timeout.clear()
@@ -235,18 +252,31 @@
         except Exception as error:
             self._owner.report_failure(request, error)
             answer = HANDLER_FAILED
+        finally:
+            self._body.release()
         self._caller.set_disconnect_callback(None)
         if self._state is not _State.RUNNING or self._transport.is_closing():
             return
         try:
-            self._write(answer)
+            is_written = self._write(answer)
         except (LocalProtocolError, UnicodeEncodeError) as error:
             self._owner.report_failure(request, error)
             self.abort()
         else:
-            self._start_next()
-
-    def _write(self, answer: HttpAnswer, close: bool = False) -> None:
+            if is_written:
+                self._start_next()
+            else:
+                self._written_until = (
+                    self._loop.time() + SLOW_READERS * self._limits.body_timeout_s
+                )
+                self._extend_writing()
+
+    def _extend_writing(self) -> None:
+        """Give a caller time for the next piece of a large answer."""
+        left_s = self._written_until - self._loop.time()
+        self._timeout.set(max(0.0, min(self._limits.body_timeout_s, left_s)))
+
+    def _write(self, answer: HttpAnswer, close: bool = False) -> bool:
         is_head = self._request is not None and self._request.method == b"HEAD"
         headers = frame_answer(answer, is_head, close or self._owner.closing)
         head = Response(status_code=answer.status, headers=headers)
@@ -254,7 +284,7 @@
         if answer.body and not is_head and answer.status not in BODILESS_STATUSES:
             parts.append(self._http.send(Data(data=answer.body)))
         parts.append(self._http.send(EndOfMessage()))
-        self._transport.write(b"".join(part for part in parts if part))
+        return self._writer.write(b"".join(part for part in parts if part))
 
     def _start_next(self) -> None:
         self._active_at = self._loop.time()
@@ -262,7 +292,7 @@
         if not both_done or self._caller.disconnected.is_set():
             self.close()
             return
-        if not self._writable:
+        if not self._writer.is_writable:
             self._state = _State.WRITING
             self._timeout.set(self._limits.body_timeout_s)
             return
@@ -285,6 +315,7 @@
             verdict=Verdict.not_run,
             retry_after_s=retry_after_s,
         )
+        self._body.release()
         self._write(render_problem(refusal), close=True)
         self._state = _State.CLOSING
         if self._transport.can_write_eof():
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -4,6 +4,7 @@
     BaseTransport,
     Future,
     Protocol,
+    TimerHandle,
     Transport,
     get_running_loop,
     timeout,
@@ -30,6 +31,13 @@
 
 __all__ = ["HttpConnection"]
 
+# Size in bytes of an incomplete answer above which it is read more slowly while the
+# instance holds much.
+LARGE_ANSWER_BYTES = 16384
+# Longest time in seconds for which such an answer isn't read. Upstreams cut off an
+# answer that stays unread for some seconds.
+MAX_UNREAD_S = 1.0
+
 
 class HttpConnection(Protocol, AnswerHolder):
     """
@@ -73,6 +81,8 @@
         self._waiter: Future[HttpAnswer] | None = None
         self._closed = False
         self._send_timeout: SendTimeout | None = None
+        self._resume_timer: TimerHandle | None = None
+        self._may_pause = True
         self.last_answer_at = 0.0
 
     @classmethod
@@ -115,7 +125,8 @@
         loop = get_running_loop()
         try:
             async with timeout(timeout_s):
-                tcp_socket = make_socket(host)
+                window = buffers.receive_window if buffers is not None else 0
+                tcp_socket = make_socket(host, window)
                 try:
                     await loop.sock_connect(tcp_socket, (host, port))
                 except BaseException:
@@ -205,6 +216,7 @@
             transport.write(data)
             self._matches_request = matches_request
             self._notify_started = notify_started
+            self._may_pause = True
             self._waiter = waiter
             return await waiter
         except (OSError, RuntimeError) as error:
@@ -217,6 +229,28 @@
             timer.cancel()
             self._waiter = None
             self._buffers.release(self)
+            self._resume_reading()
+
+    def _pause_reading(self) -> None:
+        """Stop reading until the instance holds less, for a limited time."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not self._may_pause:
+            return
+        # An answer is held back once, so that it is read in time.
+        self._may_pause = False
+        self._transport.pause_reading()
+        self._resume_timer = self._loop.call_later(MAX_UNREAD_S, self._resume_reading)
+        self._buffers.held_bytes.wait(self, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._resume_timer is None:
+            return
+        self._resume_timer.cancel()
+        self._resume_timer = None
+        self._buffers.held_bytes.stop_waiting(self)
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _reset_connection(self) -> None:
         """
@@ -290,8 +324,11 @@
             self._notify_started()
             self._notify_started = None
         if answer is None:
-            if self._codec.buffered_bytes:
-                self._buffers.hold(self, self._codec.buffered_bytes)
+            held_bytes = self._codec.buffered_bytes
+            if held_bytes:
+                self._buffers.hold(self, held_bytes)
+            if held_bytes > LARGE_ANSWER_BYTES and self._is_near_limit:
+                self._pause_reading()
             return
         waiter, self._waiter = self._waiter, None
         self.last_answer_at = self._loop.time()
@@ -312,6 +349,10 @@
         self._reset_connection()
         self._codec.reset()
 
+    @property
+    def _is_near_limit(self) -> bool:
+        return self._buffers.held_bytes.is_near_limit
+
     def _encode(self, request: HttpRequest) -> bytes:
         try:
             return self._codec.encode(request)
--- a/packages/router/plantaincart_router/http/server.py
+++ b/packages/router/plantaincart_router/http/server.py
@@ -12,7 +12,9 @@
     Handler,
 )
 from plantaincart_router.http.connection import ServerConnection
+from plantaincart_router.http.heldbytes import HeldBytes
 from plantaincart_router.http.message import HttpRequest
+from plantaincart_router.http.pacing import BulkPacer
 from plantaincart_router.log import write_event
 
 __all__ = ["CallerConnection", "Handler", "HttpServer"]
@@ -35,6 +37,11 @@
     handler : callable
         Coroutine function that takes an `HttpRequest` and a `CallerConnection`
         and returns the answer.
+    held : HeldBytes, optional
+        Count of all bytes that the instance holds, shared with other servers.
+    pacer : BulkPacer, optional
+        Paces large answers, shared with other servers; without it they are written at
+        once.
 
     Notes
     -----
@@ -48,7 +55,15 @@
     RFC 9112, HTTP/1.1; RFC 9457, Problem Details for HTTP APIs.
     """
 
-    def __init__(self, limits: EntrySettings, handler: Handler) -> None:
+    def __init__(
+        self,
+        limits: EntrySettings,
+        handler: Handler,
+        held: HeldBytes | None = None,
+        pacer: BulkPacer | None = None,
+    ) -> None:
+        self.held = held or HeldBytes()
+        self.pacer = pacer
         self.limits = limits
         self.handler = handler
         self.loop = get_running_loop()
