--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -10,6 +10,7 @@
 from plantaincart_core.windowbudget import WindowRetryBudget
 
 from plantaincart_router.direct.admissioncontrol import AdmissionControl
+from plantaincart_router.direct.answermemory import AnswerMemory
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
@@ -27,6 +28,7 @@
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.silenceguard import SilenceGuard
 from plantaincart_router.direct.transport import DirectTransport
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.caller import CallerConnection
@@ -73,6 +75,8 @@
         Requests of callers in progress.
     relay : RelayHandler
         Handles requests of instances that are cut off from the upstreams.
+    silence : SilenceGuard
+        Sends attempts, and repeats those that meet silence.
     """
 
     def __init__(
@@ -96,6 +100,7 @@
             view, header_codec, settings.send, metrics, pools.buffers
         )
         self._pools = pools
+        self._answer_memory = AnswerMemory(pools.buffers.held_bytes)
         self._transport = ReroutingTransport(direct, relayed, view)
         self._costs = CostEstimator(settings, view)
         self._rejections = RejectionFactory(settings, view, self._transport)
@@ -117,10 +122,20 @@
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
         )
-        self._sender = UpstreamSender(
+        sender = UpstreamSender(
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
         )
-        self.relay = RelayHandler(view, header_codec, direct, metrics)
+        self.silence = SilenceGuard(
+            view,
+            sender,
+            self._selector,
+            self._costs,
+            metrics,
+            self._may_retry,
+        )
+        self.relay = RelayHandler(
+            view, header_codec, direct, metrics, self._answer_memory
+        )
         self.in_flight = 0
 
     async def handle(
@@ -151,7 +166,9 @@
         try:
             await self._wait_for_configuration(metadata, started_at)
             call = self._start_call(request, metadata, caller, started_at)
-            answer = await self._run(call)
+            with self._answer_memory.reserve(call.route.name):
+                answer = await self._run(call)
+            self._answer_memory.record_answer(call.route.name, len(answer.body))
             self._log_request_end(metadata, call, answer.status, "answered", "")
             return answer
         except RefusedError as error:
@@ -164,7 +181,8 @@
             self.in_flight -= 1
 
     def close(self) -> None:
-        """Close the connections to other instances."""
+        """Close the connections to other instances, and end attempts left over."""
+        self.silence.close()
         self._transport.close()
 
     async def _wait_for_configuration(
@@ -219,7 +237,7 @@
             # The request may have waited, or ended an upstream.
             self._check_quarantine(call)
             try:
-                return await self._sender.send(call, record)
+                return await self.silence.send(call, record)
             except NotRunError as error:
                 self._metrics.count("attempts", call.service.name, "not-run")
                 write_event(
@@ -304,11 +322,12 @@
         raise self._rejections.refuse_unserved(call, Reason.QUEUE_FULL, str(error), 0.3)
 
     def _may_retry(self, call: Call) -> bool:
+        attempts = call.attempts + call.silent_attempts
         if call.service.keyed:
             # All attempts go to the same upstream, the owner of the key.
-            is_exhausted = call.attempts >= MAX_KEYED_ATTEMPTS
+            is_exhausted = attempts >= MAX_KEYED_ATTEMPTS
         else:
-            is_exhausted = call.attempts >= call.route.max_attempts
+            is_exhausted = attempts >= call.route.max_attempts
         if is_exhausted or call.caller.disconnected.is_set():
             return False
         work_s = self._view.loads.estimate_work_s(call.route.name, 0.0)
