Decide the quotas of client accounts without a network

Tokens are issued by the coordinator and lapse by the time of the report; an instance that is alone uses its equal share, which is taken off what the others get. Accounts, their keys by digest, and the messages' fields come with it.

--- /dev/null
+++ b/packages/core/plantaincart_core/accountquota.py
@@ -0,0 +1,387 @@
+"""Quotas of client accounts, as one instance keeps them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import exp
+from zlib import crc32
+
+from plantaincart_core.account import ClientAccount
+
+__all__ = [
+    "MAX_TOLD_WAIT_S",
+    "AccountDemand",
+    "AccountQuotas",
+    "AccountShare",
+    "QuotaBounds",
+]
+
+# Share of the rule's allowance beyond the quota that is used as burst; the rest covers
+# instances that don't hear of each other, and changes of the coordinator.
+BURST_SHARE = 0.4
+# Time constant in seconds of an account's mean arrivals at an instance.
+RATE_MEMORY_S = 2.0
+# Seconds since the last request of an account for which an instance asks for a token
+# in reserve, and after which the account's state is forgotten.
+SPARE_S = 10.0
+FORGOTTEN_S = 60.0
+# Maximum number of accounts in a report; those that came last are reported.
+MAX_REPORTED = 512
+# Longest time in seconds for which a refused caller is asked to wait.
+MAX_RETRY_S = 5.0
+# Waits for a token up to this many seconds are waited for; longer ones are refused.
+MAX_TOLD_WAIT_S = 0.15
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaBounds:
+    """
+    How many requests of an account may run at all instances together.
+
+    Parameters
+    ----------
+    window_s : float
+        Seconds of any window.
+    overage, extra : float
+        At most the requests of the quota times one plus the overage, plus the extra.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.1
+    extra: float = 20.0
+
+    def find_slack(self, account: ClientAccount) -> float:
+        """Return the requests in a window that the rule allows beyond the quota."""
+        quota = account.rate_per_s * self.window_s + account.burst
+        return quota * self.overage + self.extra
+
+    def find_limit(self, account: ClientAccount) -> float:
+        """Return the requests in a window that the rule allows."""
+        quota = account.rate_per_s * self.window_s + account.burst
+        return quota + self.find_slack(account)
+
+    def find_capacity(self, account: ClientAccount) -> float:
+        """
+        Return the tokens of an account that may exist at any moment.
+
+        Examples
+        --------
+        >>> account = ClientAccount(name="depot", rate_per_s=10.0, burst=10.0)
+        >>> QuotaBounds().find_capacity(account)
+        20.4
+        """
+        return account.burst + BURST_SHARE * self.find_slack(account)
+
+
+@dataclass(frozen=True, slots=True)
+class AccountDemand:
+    """
+    What an instance asks for an account.
+
+    Parameters
+    ----------
+    account : str
+        Name of the account.
+    wanted : int
+        Tokens that it would like to hold.
+    waiting : int
+        Those of them for which requests wait.
+    held : int
+        Tokens that it holds.
+    returned : int
+        Tokens that it has given up since the last report.
+    """
+
+    account: str
+    wanted: int
+    waiting: int
+    held: int
+    returned: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AccountShare:
+    """
+    What the coordinator answers for an account.
+
+    Parameters
+    ----------
+    account : str
+        Name of the account.
+    tokens : int
+        Further tokens.
+    level : float
+        Tokens of all instances together, as a fraction of the greatest number.
+    wait_s : float
+        Seconds until further tokens can be had; 0 if there are some.
+    scarce : bool
+        Whether tokens in reserve should be returned.
+    """
+
+    account: str
+    tokens: int
+    level: float
+    wait_s: float
+    scarce: bool = False
+
+
+@dataclass(slots=True)
+class _State:
+    """Tokens of one account."""
+
+    tokens: int = 0
+    expires_at: float = 0.0
+    # Own share, for times without a coordinator; None until the first is needed.
+    base: float | None = None
+    # Tokens used since the last answer.
+    used: int = 0
+    base_at: float = 0.0
+    level: float | None = None
+    rate_per_s: float = 0.0
+    seen_at: float = float("-inf")
+    waiting: int = 0
+    wait_until: float = 0.0
+    is_scarce: bool = False
+    next_retry_at: float = 0.0
+
+    def decay(self, now: float) -> float:
+        return self.rate_per_s * exp(-max(0.0, now - self.seen_at) / RATE_MEMORY_S)
+
+
+class AccountQuotas:
+    """
+    Tokens with which one instance may pass on requests of client accounts.
+
+    Parameters
+    ----------
+    bounds : QuotaBounds
+        What the sum over all instances must keep.
+    report_s : float
+        Seconds between reports to the coordinator.
+
+    Attributes
+    ----------
+    members : int
+        Number of instances.
+    rank : int or None
+        Index of this instance among them; None before the coordinator has told it.
+
+    Notes
+    -----
+    Each request takes a token. The coordinator issues them for `lease_s`, counted from
+    the report that asked for them, so that a message that was held up brings none that
+    it has stopped counting. An instance that wasn't answered for `alone_s` uses a share
+    of its own: an equal part of rate and burst. By then the coordinator has taken this
+    part from what it issues (`plantaincart_core.accountshare`). The part of the burst
+    is the level of the account's tokens at the last answer, so that a burst isn't used
+    twice. After `alone_limit_s` the coordinator counts the instance no more, and it
+    passes on nothing of accounts with a quota.
+
+    Examples
+    --------
+    >>> depot = ClientAccount(name="depot", rate_per_s=10.0, burst=10.0)
+    >>> quotas = AccountQuotas(QuotaBounds(), report_s=0.25)
+    >>> quotas.record_arrival(depot, 5.0), quotas.take(depot, 5.0)
+    (None, False)
+    >>> [demand.wanted for demand in quotas.list_demands(5.0)]
+    [1]
+    >>> quotas.apply([AccountShare("depot", 1, 1.0, 0.0)], 5.0, is_led=True)
+    >>> quotas.take(depot, 5.1), quotas.take(depot, 5.1)
+    (True, False)
+    """
+
+    def __init__(self, bounds: QuotaBounds, report_s: float) -> None:
+        self._bounds = bounds
+        self.lease_s = 4.0 * report_s
+        self.alone_s = 3.0 * report_s
+        self.alone_limit_s = 110.0
+        self._horizon_s = 3.0 * report_s
+        self.members = 1
+        self.rank: int | None = None
+        self._members_counted_at = float("-inf")
+        self.led_at = float("-inf")
+        self._states: dict[str, _State] = {}
+        self._forgotten_at = 0.0
+
+    def set_fleet(self, members: int, rank: int | None, now: float) -> None:
+        """
+        Set the number of instances, and the index of this one.
+
+        Notes
+        -----
+        A lower number counts only when those that were lost before have stopped using
+        their own shares.
+        """
+        is_old = now - self._members_counted_at > self.alone_limit_s
+        if members >= self.members or is_old:
+            self.members, self._members_counted_at = max(1, members), now
+        self.rank = rank
+
+    def record_arrival(self, account: ClientAccount, now: float) -> None:
+        """Count a request that a caller has sent."""
+        state = self._states.setdefault(account.name, _State())
+        state.rate_per_s = state.decay(now) + 1.0 / RATE_MEMORY_S
+        state.seen_at = now
+
+    @property
+    def has_been_led(self) -> bool:
+        """Whether a coordinator that divides quotas has answered this process."""
+        return self.led_at > float("-inf")
+
+    def is_alone(self, now: float) -> bool:
+        """Whether no coordinator that divides quotas has answered lately."""
+        return now - self.led_at > self.alone_s
+
+    def take(self, account: ClientAccount, now: float) -> bool:
+        """
+        Take a token for a request, if there is one.
+
+        Parameters
+        ----------
+        account : ClientAccount
+            Account with a quota.
+        now : float
+            Present time in seconds.
+        """
+        state = self._states.setdefault(account.name, _State())
+        if state.tokens > 0 and now < state.expires_at:
+            state.tokens -= 1
+            state.used += 1
+            return True
+        state.tokens = 0
+        return self._take_base(account, state, now)
+
+    def give_back(self, account: ClientAccount, now: float) -> None:
+        """Return the token of a request that certainly doesn't run."""
+        state = self._states.get(account.name)
+        if state is not None and now < state.expires_at:
+            state.tokens += 1
+
+    def change_waiting(self, account: ClientAccount, change: int) -> int:
+        """Change the number of requests that wait for a token, and return it."""
+        state = self._states.setdefault(account.name, _State())
+        state.waiting += change
+        return state.waiting
+
+    def is_exhausted(self, account: ClientAccount, now: float) -> bool:
+        """Whether the coordinator said lately that there are no tokens for a while."""
+        state = self._states.get(account.name)
+        return state is not None and state.wait_until - now > MAX_TOLD_WAIT_S
+
+    def choose_retry_s(self, account: ClientAccount, now: float) -> float:
+        """
+        Choose when a refused caller should come back; each later than the one before.
+
+        Parameters
+        ----------
+        account : ClientAccount
+            Account with a quota.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        state = self._states.setdefault(account.name, _State())
+        interval_s = self.members / account.rate_per_s
+        # A large fleet's instances have few tokens a second each, but their callers
+        # needn't come back to the same instance.
+        interval_s = min(interval_s, MAX_RETRY_S / 20.0)
+        begin = max(state.next_retry_at, state.wait_until, now)
+        state.next_retry_at = min(begin + interval_s, now + MAX_RETRY_S)
+        return min(state.next_retry_at - now, MAX_RETRY_S)
+
+    def list_demands(self, now: float) -> list[AccountDemand]:
+        """Return what to ask the coordinator for."""
+        self._forget(now)
+        demands = []
+        recent = sorted(
+            self._states.items(), key=lambda item: item[1].seen_at, reverse=True
+        )
+        for name, state in recent[:MAX_REPORTED]:
+            if now >= state.expires_at:
+                state.tokens = 0
+            is_recent = now - state.seen_at < SPARE_S
+            if not is_recent and not state.tokens and not state.waiting:
+                continue
+            expected = int(state.decay(now) * self._horizon_s + 0.5)
+            has_spare = is_recent and not state.is_scarce
+            wanted = state.waiting + expected + has_spare
+            returned = max(0, state.tokens - wanted)
+            state.tokens -= returned
+            demands.append(
+                AccountDemand(name, wanted, state.waiting, state.tokens, returned)
+            )
+        return demands
+
+    def apply(
+        self, shares: Iterable[AccountShare], asked_at: float, is_led: bool
+    ) -> None:
+        """
+        Adopt the coordinator's answer to a report.
+
+        Parameters
+        ----------
+        shares : iterable of AccountShare
+            Answers by account; tokens that were reported are prolonged by them.
+        asked_at : float
+            Time in seconds at which the report was sent.
+        is_led : bool
+            Whether the coordinator divides the whole quotas; otherwise it can't
+            exclude yet that another one does.
+        """
+        if is_led:
+            self.led_at = max(self.led_at, asked_at)
+        for share in shares:
+            state = self._states.get(share.account)
+            if state is None:
+                state = self._states[share.account] = _State(seen_at=asked_at - SPARE_S)
+            if asked_at + self.lease_s < state.expires_at:
+                continue
+            state.expires_at = asked_at + self.lease_s
+            state.tokens += share.tokens
+            state.is_scarce = share.scarce
+            state.wait_until = asked_at + share.wait_s if share.wait_s else 0.0
+            if is_led:
+                state.level, state.base, state.used = share.level, None, 0
+
+    def _take_base(self, account: ClientAccount, state: _State, now: float) -> bool:
+        """Take a token of this instance's own share while it is alone."""
+        if self.rank is None or not self.is_alone(now):
+            return False
+        if now - self.led_at > self.alone_limit_s:
+            return False
+        capacity = self._find_base_capacity(account)
+        if state.base is None:
+            level = state.level
+            if level is None:
+                # An account that nobody spoke of has used little; a new process can't
+                # know what earlier ones have used.
+                level = 1.0 if self.has_been_led else 0.0
+            state.base = max(0.0, level * capacity - state.used)
+            state.base_at = now
+        elapsed_s = max(0.0, now - max(state.base_at, self.led_at))
+        total = max(1, int(self._bounds.find_capacity(account)))
+        gained = elapsed_s * account.rate_per_s * capacity / total
+        state.base = min(float(capacity), state.base + gained)
+        state.base_at = now
+        if state.base < 1.0:
+            return False
+        state.base -= 1.0
+        return True
+
+    def _find_base_capacity(self, account: ClientAccount) -> int:
+        """Divide the whole tokens of an account's burst among all instances."""
+        total = int(self._bounds.find_capacity(account))
+        members = max(1, self.members)
+        position = ((self.rank or 0) + crc32(account.name.encode())) % members
+        return total // members + (1 if position < total % members else 0)
+
+    def _forget(self, now: float) -> None:
+        if now - self._forgotten_at < FORGOTTEN_S / 4.0:
+            return
+        self._forgotten_at = now
+        for name, state in list(self._states.items()):
+            if now - state.seen_at > FORGOTTEN_S and not state.waiting:
+                del self._states[name]
--- a/packages/core/plantaincart_core/traffic.py
+++ b/packages/core/plantaincart_core/traffic.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from plantaincart_core.account import ClientAccount
+
 __all__ = [
     "CallerLimits",
     "Route",
@@ -57,6 +59,8 @@
         Latency objective in seconds.
     priority : int
         Priority; 0 is the most urgent.
+    public : bool
+        Whether requests need no key of a client account.
     """
 
     name: str
@@ -68,6 +72,7 @@
     timeout_s: float
     target_s: float
     priority: int
+    public: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,12 +137,15 @@
         Services by name.
     limits : CallerLimits or None
         Limits of callers; None leaves the previous limits in force.
+    accounts : tuple of ClientAccount
+        Client accounts; without any, requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServicePolicy] = field(default_factory=dict)
     limits: CallerLimits | None = None
+    accounts: tuple[ClientAccount, ...] = ()
 
 
 class RouteIndex:
--- a/packages/core/plantaincart_core/verdict.py
+++ b/packages/core/plantaincart_core/verdict.py
@@ -23,6 +23,7 @@
     NO_ROUTE = "no-route"
     BAD_REQUEST = "bad-request"
     KEY_MISSING = "key-missing"
+    ACCOUNT_UNKNOWN = "account-unknown"
     IDEMPOTENCY_KEY_MISSING = "idempotency-key-missing"
     IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
     DEADLINE_TOO_SHORT = "deadline-too-short"
@@ -51,6 +52,7 @@
     Reason.NO_ROUTE: 404,
     Reason.BAD_REQUEST: 400,
     Reason.KEY_MISSING: 400,
+    Reason.ACCOUNT_UNKNOWN: 401,
     Reason.IDEMPOTENCY_KEY_MISSING: 400,
     Reason.IDEMPOTENCY_KEY_REUSED: 422,
     Reason.DEADLINE_TOO_SHORT: 503,
--- a/packages/operator/plantaincart_operator/explain.py
+++ b/packages/operator/plantaincart_operator/explain.py
@@ -31,8 +31,10 @@
     "hasn't run",
     "no-route": "the instance had no route for the request, or no configuration at "
     "all; the request hasn't run",
-    "rate-limited": "the key's owner was cold and had reached its request limit; the "
-    "request hasn't run",
+    "rate-limited": "the key's owner was cold and had reached its request limit, or "
+    "the quota of the caller's account was used up; the request hasn't run",
+    "account-unknown": "the route needs the key of a client account, and no account "
+    "of the configuration in force at the instance holds the key; it hasn't run",
     "upstream-unreachable": "the request could be sent to no upstream of the service; "
     "it hasn't run",
     "upstream-lost": "the upstream's connection ended before the answer was complete; "
@@ -70,6 +72,7 @@
         "move_failed",
         "moves_not_written",
         "plan_adopted",
+        "quotas_divided",
         "release_failed",
         "started",
         "stopping",
--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from time import monotonic
 
+from plantaincart_core.account import ClientAccount
 from plantaincart_core.rank import Rank
 from plantaincart_core.traffic import Route, ServicePolicy
 from plantaincart_core.verdict import Reason, Refusal, RefusedError, refuse_not_run
@@ -47,6 +48,10 @@
         Upstream to which it was sent last; empty before the first attempt.
     account_priority : int
         Priority of the caller's account; 0 without one.
+    account : ClientAccount or None
+        The caller's account; None without one.
+    has_token : bool
+        Whether it has taken a token of the account's quota.
     """
 
     request: HttpRequest
@@ -63,6 +68,8 @@
     excluded_upstreams: set[str] = field(default_factory=set)
     upstream: str = ""
     account_priority: int = 0
+    account: ClientAccount | None = None
+    has_token: bool = False
 
     @property
     def rank(self) -> Rank:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -6,9 +6,15 @@
 
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.traffic import pick_service
-from plantaincart_core.verdict import Reason, RefusedError, refuse_may_have_run
+from plantaincart_core.verdict import (
+    Reason,
+    RefusedError,
+    Verdict,
+    refuse_may_have_run,
+)
 from plantaincart_core.windowbudget import WindowRetryBudget
 
+from plantaincart_router.direct.accountgate import AccountGate
 from plantaincart_router.direct.admissioncontrol import AdmissionControl
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
@@ -97,6 +103,7 @@
         )
         self._pools = pools
         self._transport = ReroutingTransport(direct, relayed, view)
+        self._accounts = AccountGate(view, metrics)
         self._costs = CostEstimator(settings, view)
         self._rejections = RejectionFactory(settings, view, self._transport)
         self._candidates = CandidateFinder(
@@ -151,11 +158,14 @@
         try:
             await self._wait_for_configuration(metadata, started_at)
             call = self._start_call(request, metadata, caller, started_at)
+            await self._accounts.acquire(call)
             answer = await self._run(call)
             self._log_request_end(metadata, call, answer.status, "answered", "")
             return answer
         except RefusedError as error:
             refusal = error.refusal
+            if call is not None and refusal.verdict is Verdict.not_run:
+                self._accounts.give_back(call)
             self._log_request_end(
                 metadata, call, refusal.status, refusal.reason.value, refusal.detail
             )
@@ -193,6 +203,9 @@
         route = routes.find(metadata.host, request.target)
         if route is None:
             raise refuse(Reason.NO_ROUTE, "no route for host and path", 0.0)
+        account = self._accounts.identify(route, metadata)
+        account_name = "" if account is None else account.name
+        request = self._header_codec.assign_account(request, account_name)
         policy = routing_config.services.get(pick_service(route, self._random))
         if policy is None:
             raise refuse(
@@ -205,7 +218,10 @@
         if metadata.remaining_s is not None:
             remaining_s = metadata.remaining_s
         deadline_at = started_at + min(remaining_s, route.timeout_s)
-        return Call(request, metadata, caller, route, policy, started_at, deadline_at)
+        call = Call(request, metadata, caller, route, policy, started_at, deadline_at)
+        if account is not None:
+            call.account, call.account_priority = account, account.priority
+        return call
 
     async def _run(self, call: Call) -> HttpAnswer:
         if call.route.idempotent:
@@ -358,6 +374,7 @@
             request=metadata.request_id,
             route=call.route.name,
             service=call.service.name,
+            account=call.account.name if call.account else None,
             key=metadata.key,
             status=status,
             outcome=outcome,
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -1,7 +1,7 @@
 """Interface to a platform: store, header fields, rows, and calls to upstreams."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.ownermap import KeyRange
@@ -47,12 +47,16 @@
         Key of the request, if it has one.
     host : str
         Host to which the request is addressed.
+    account_key_digest : bytes or None
+        Digest of the key of the caller's account; None without a proper one. It is
+        never logged.
     """
 
     request_id: str
     remaining_s: float | None
     key: int | None
     host: str
+    account_key_digest: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -126,6 +130,24 @@
     def read_request(self, request: HttpRequest) -> RequestMetadata:
         """Parse the header fields of a caller's request."""
 
+    def assign_account(self, request: HttpRequest, account: str) -> HttpRequest:
+        """
+        Replace the key and the account that a caller has named.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            Request as received.
+        account : str
+            Name of the account that holds the caller's key; empty for none.
+
+        Returns
+        -------
+        HttpRequest
+            Request without any key, with the account's name for the upstream.
+        """
+        return request
+
     @abstractmethod
     def write_request(
         self, request: HttpRequest, upstream: str, remaining_s: float
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -33,6 +33,9 @@
 MAX_LIMIT_PER_S = 1e6
 MAX_PERMITS = 10**4
 MAX_PERMIT_WAIT_S = 1e7
+MAX_ACCOUNTS = 4096
+# Some 30 years since a machine was started.
+MAX_CLOCK_S = 1e9
 
 
 def check_report(report: MemberReport) -> None:
@@ -64,6 +67,12 @@
     _check_crashes(report.crashes)
     _check_limits(report.limits)
     _check_range([limit.waiting for limit in report.limits], MAX_COUNT, "waiting")
+    _check(len(report.accounts) <= MAX_ACCOUNTS, "number of accounts")
+    for account in report.accounts:
+        _check(0 < len(account.account) <= MAX_NAME_LENGTH, "name of an account")
+        counts = (account.wanted, account.waiting, account.held, account.returned)
+        _check_range(counts, MAX_COUNT, "tokens of an account")
+    _check_range((report.accounts_at, report.accounts_heard), MAX_CLOCK_S, "accounts")
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
@@ -103,6 +112,13 @@
     _check_range([quota.permits for quota in notice.quotas], MAX_PERMITS, "permits")
     waits_s = [quota.wait_s for quota in notice.quotas]
     _check_range(waits_s, MAX_PERMIT_WAIT_S, "wait for a permit")
+    _check(len(notice.accounts) <= MAX_ACCOUNTS, "number of accounts")
+    for account in notice.accounts:
+        _check(0 < len(account.account) <= MAX_NAME_LENGTH, "name of an account")
+        _check_range((account.tokens,), MAX_COUNT, "tokens of an account")
+        _check_range((account.level,), 1.0, "level of an account")
+        _check_range((account.wait_s,), MAX_PERMIT_WAIT_S, "wait for a token")
+    _check_range((notice.accounts_at,), MAX_CLOCK_S, "accounts")
 
 
 def _check_load(load: KeyLoad) -> None:
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -14,6 +14,8 @@
     "attempts": ("Requests sent to upstreams", ("service", "result")),
     "relayed": ("Requests sent through another instance", ("outcome",)),
     "relays": ("Requests sent to upstreams for other instances", ("outcome",)),
+    "account_requests": ("Requests of accounts with a quota", ("account", "result")),
+    "unknown_keys": ("Requests without the key of an account", ("route",)),
     "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -42,6 +42,11 @@
         the extra.
     max_hold_s : float
         Maximum grant duration in seconds.
+    quota_window_s : float
+        Seconds over which the requests of a client account are counted.
+    quota_overage, quota_extra : float
+        Requests of an account at all instances together within the window: at most
+        those of its quota times one plus the overage, plus the extra.
     """
 
     drain_s: float = 2.0
@@ -54,6 +59,9 @@
     cold_ratio: float = 1.5
     cold_extra: float = 5.0
     max_hold_s: float = 10.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_extra: float = 20.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -3,6 +3,7 @@
 from asyncio import Event
 from time import monotonic
 
+from plantaincart_core.account import AccountIndex
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.ownermap import KeyRange, OwnerMap
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
@@ -14,6 +15,7 @@
     RefusedKey,
 )
 
+from plantaincart_router.direct.accountfact import AccountFact
 from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.crashfact import CrashFact
 from plantaincart_router.direct.crashledger import CrashLedger
@@ -73,6 +75,8 @@
         Limits that upstreams have named.
     relay_fact : RelayFact
         Relays, and whether this instance needs them.
+    account_fact : AccountFact
+        Client accounts, and this instance's part of their quotas.
     facts : tuple of SharedFact
         All that instances share through the coordinator, besides the map of owners.
     """
@@ -109,11 +113,13 @@
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
+        self.account_fact = AccountFact(settings)
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
+            self.account_fact,
         )
         self._changed = Event()
 
@@ -430,10 +436,12 @@
             return
         self.routing_config = routing_config
         self.routes = RouteIndex(routing_config)
+        self.account_fact.accounts = AccountIndex(routing_config.accounts)
         write_event(
             "plan_adopted",
             version=routing_config.version,
             routes=len(routing_config.routes),
+            accounts=len(routing_config.accounts),
         )
 
     def _apply_changes(self, changes: list[MapChange]) -> None:
