--- a/packages/core/plantaincart_core/accountshare.py
+++ b/packages/core/plantaincart_core/accountshare.py
@@ -93,7 +93,8 @@
     For each account, the tokens that aren't issued and those that are add up to at most
     its capacity, and grow by its rate. So no window has more requests than capacity and
     rate allow, wherever callers send them. Instances that aren't in touch have their
-    shares of both; these are taken off, so that the number may be negative for a while. A term begins without tokens.
+    shares of both; these are taken off, so that the number may be negative for a
+    while. A term begins without tokens.
 
     Examples
     --------
--- a/packages/router/plantaincart_router/direct/tests/cutsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/cutsystem.py
@@ -66,6 +66,7 @@
     def __init__(self, name):
         self.name = name
         self.ran = []
+        self.accounts = {}
         self.abandoned = 0
         self.work_s = WORK_S
         self.loses_answers = False
@@ -82,6 +83,7 @@
                 fields = dict(line.split(": ", 1) for line in lines[1:] if line)
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 self.ran.append(fields["id"])
+                self.accounts[fields["id"]] = fields.get("account")
                 if not await self._work(reader):
                     break
                 if self.loses_answers:
@@ -337,9 +339,9 @@
         for path in self.paths[name].values():
             await path.heal()
 
-    async def call(self, name, request_id, remaining_s=1.0, body=b"filing"):
+    async def call(self, name, request_id, remaining_s=1.0, body=b"filing", more=()):
         """Send one request to an instance on a new connection."""
-        headers = [("host", "a.example"), ("id", request_id)]
+        headers = [("host", "a.example"), ("id", request_id), *more]
         headers += [("left-s", str(remaining_s)), ("key", "7")]
         request = HttpRequest("POST", "/x", tuple(headers), body)
         port = self.instances[name]._settings.front_port
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 from time import monotonic
 
+from plantaincart_core.account import digest_key
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.era import join_version, split_version
 from plantaincart_core.traffic import (
@@ -89,7 +90,15 @@
     return LoadStatement(running=int(in_progress), waiting=0, slots=2)
 
 
-def make_plan(version=1, keyed=True, idempotent=True, timeout_s=1.0, attempts=2):
+def make_plan(
+    version=1,
+    keyed=True,
+    idempotent=True,
+    timeout_s=1.0,
+    attempts=2,
+    accounts=(),
+    public=False,
+):
     route = Route(
         name="lookup",
         host="a.example",
@@ -100,6 +109,7 @@
         timeout_s=timeout_s,
         target_s=0.5,
         priority=1,
+        public=public,
     )
     policy = ServicePolicy(
         name="ledger",
@@ -109,7 +119,10 @@
         cold_requests_per_s=3.0,
     )
     return RoutingConfiguration(
-        version=version, routes=(route,), services={"ledger": policy}
+        version=version,
+        routes=(route,),
+        services={"ledger": policy},
+        accounts=tuple(accounts),
     )
 
 
@@ -400,7 +413,21 @@
             remaining_s=float(remaining) if remaining else None,
             key=int(key) if key else None,
             host=find_header(request.headers, "host") or "",
+            account_key_digest=self._read_account_key(request),
+        )
+
+    def _read_account_key(self, request):
+        keys = [value for name, value in request.headers if name == "account-key"]
+        return digest_key(keys[0]) if len(keys) == 1 else None
+
+    def assign_account(self, request, account):
+        headers = tuple(
+            field
+            for field in request.headers
+            if field[0] not in ("account-key", "account")
         )
+        headers += (("account", account),) if account else ()
+        return HttpRequest(request.method, request.target, headers, request.body)
 
     def write_request(self, request, upstream, remaining_s):
         headers = [
