--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -3,6 +3,7 @@
 from asyncio import Event
 from time import monotonic
 
+from plantaincart_core.account import AccountIndex
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
 from plantaincart_core.ownermap import KeyRange, OwnerMap
@@ -16,6 +17,7 @@
     RefusedKey,
 )
 
+from plantaincart_router.direct.accountfact import AccountFact
 from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.crashfact import CrashFact
 from plantaincart_router.direct.crashledger import CrashLedger
@@ -78,6 +80,8 @@
         Relays, and whether this instance needs them.
     silence_fact : SilenceFact
         Services whose upstreams fall silent.
+    account_fact : AccountFact
+        Client accounts, and this instance's part of their quotas.
     facts : tuple of SharedFact
         All that instances share through the coordinator, besides the map of owners.
     """
@@ -116,12 +120,14 @@
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
         self.silence_fact = SilenceFact(SilenceSettings())
+        self.account_fact = AccountFact(settings)
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             self.silence_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
+            self.account_fact,
         )
         self._changed = Event()
 
@@ -442,10 +448,12 @@
             return
         self.routing_config = routing_config
         self.routes = RouteIndex(routing_config)
+        self.account_fact.accounts = AccountIndex(routing_config.accounts)
         write_event(
             "plan_adopted",
             version=routing_config.version,
             routes=len(routing_config.routes),
+            accounts=len(routing_config.accounts),
         )
 
     def _apply_changes(self, changes: list[MapChange]) -> None:
