Keep retries for urgent requests, and let requests wait for room at the entry

Upstreams that reject half of what they get exhaust the retry budget, which was spent without regard to rank. Retries that more urgent requests are expected to need are now kept for them; the sum over all ranks and instances is unchanged.

Requests take a unit of room before they are sent, and wait for one by rank and then by the latest moment at which they can still be served. With OpenRoomGate nobody waits.

--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -93,3 +93,27 @@
         expected, admission = self.assess(call, record)
         if not admission.admitted:
             raise self._rejections.refuse_overloaded(call, record, expected, admission)
+
+    def find_latest(self, call: Call, record: UpstreamRecord, now: float) -> float:
+        """
+        Return the latest time at which a request may be sent.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        record : UpstreamRecord
+            Upstream that would run it.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Time in seconds; may be in the past.
+        """
+        standing = self._view.loads.has_standing_queue(record.id, now)
+        share = self._settings.admission.choose_share(call.route.priority, standing)
+        expected = self._costs.estimate(call, record)
+        target_at = call.started_at + share * call.route.target_s
+        return min(target_at, call.deadline_at) - expected.work_s
--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -69,6 +69,18 @@
         """Rank of the request among those that compete for the same upstreams."""
         return Rank(self.account_priority, self.route.priority)
 
+    @property
+    def retry_rank(self) -> Rank:
+        """
+        Rank of the request among those that need retries.
+
+        One that isn't idempotent goes before others of its account: its caller can't
+        repeat it once it may have run.
+        """
+        if self.route.idempotent:
+            return self.rank
+        return Rank(self.account_priority, min(0, self.route.priority))
+
     @property
     def remaining_s(self) -> float:
         """Remaining time in seconds until the deadline."""
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -14,6 +14,7 @@
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.cost import CostEstimator
+from plantaincart_router.direct.entryqueue import EntryQueue
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.permitwait import PermitWait
@@ -24,6 +25,7 @@
     RelayTransport,
     ReroutingTransport,
 )
+from plantaincart_router.direct.roomgate import OpenRoomGate, RoomGate
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
@@ -108,6 +110,7 @@
             self._rejections,
             metrics,
         )
+        self._gate: RoomGate = OpenRoomGate()
         self._selector = UpstreamSelector(
             settings,
             view,
@@ -116,6 +119,8 @@
             AdmissionControl(settings, view, self._costs, self._rejections),
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
+            self._gate,
+            EntryQueue(self._gate, settings.queue),
         )
         self._sender = UpstreamSender(
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
@@ -212,14 +217,13 @@
             task = current_task()
             if task is not None:
                 call.caller.set_disconnect_callback(lambda: _cancel(task))
-        self._find_budget(call.service.name).record_request(call.started_at)
+        budget = self._find_budget(call.service.name)
+        budget.record_request(call.started_at, call.retry_rank)
         self._check_quarantine(call)
         while True:
             record = await self._selector.find_upstream(call)
-            # The request may have waited, or ended an upstream.
-            self._check_quarantine(call)
             try:
-                return await self._sender.send(call, record)
+                return await self._send_once(call, record)
             except NotRunError as error:
                 self._metrics.count("attempts", call.service.name, "not-run")
                 write_event(
@@ -245,6 +249,15 @@
                 )
                 self._check_retry_after_loss(call, str(error))
 
+    async def _send_once(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
+        """Send a request to an upstream at which a unit of room was taken."""
+        try:
+            # The request may have waited, or ended an upstream.
+            self._check_quarantine(call)
+            return await self._sender.send(call, record)
+        finally:
+            self._gate.release(record)
+
     def _check_quarantine(self, call: Call) -> None:
         """Reject a request under which several upstreams have ended."""
         view = self._view
@@ -315,7 +328,7 @@
         if call.remaining_s < max(work_s, self._settings.send.least_left_s):
             return False
         budget = self._find_budget(call.service.name)
-        allowed = budget.spend(monotonic(), self._view.members)
+        allowed = budget.spend(monotonic(), self._view.members, call.retry_rank)
         if not allowed:
             self._metrics.count("repeats_denied", call.service.name)
         return allowed
--- a/packages/router/plantaincart_router/direct/rejection.py
+++ b/packages/router/plantaincart_router/direct/rejection.py
@@ -182,3 +182,26 @@
             full_s = load.measure_full_s(now, loads.settings)
             retry_after_s = max(retry_after_s, full_s)
         return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, retry_after_s)
+
+    def refuse_full(
+        self, call: Call, record: UpstreamRecord, waited_s: float, waiting_s: float
+    ) -> RefusedError:
+        """
+        Return the error for a request that gets no room in time.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        record : UpstreamRecord
+            Upstream that would have run it.
+        waited_s : float
+            Seconds for which it has waited.
+        waiting_s : float
+            Expected seconds until there is room.
+        """
+        detail = (
+            f"upstream {record.id}: no room after {waited_s:.2f} s, expected in "
+            f"{waiting_s:.2f} s"
+        )
+        return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, waiting_s)
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a request, or its rejection."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 from time import monotonic
 
@@ -12,8 +12,10 @@
 from plantaincart_router.direct.call import Call
 from plantaincart_router.direct.candidates import CandidateFinder
 from plantaincart_router.direct.cost import CostEstimator
+from plantaincart_router.direct.entryqueue import EntryQueue
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.rejection import RejectionFactory
+from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
 
@@ -21,6 +23,9 @@
 
 # Number of times that a request may wait for a permit.
 MAX_PERMITS = 3
+# Seconds after which a request that waits for room looks at the upstreams again, since
+# some may have been added, removed or paused meanwhile.
+RECHECK_S = 0.15
 
 
 class UpstreamSelector:
@@ -43,6 +48,10 @@
         Lets requests wait for a permit.
     rejections : RejectionFactory
         Makes the errors for requests that are rejected.
+    gate : RoomGate
+        Room that this instance may use at upstreams.
+    queue : EntryQueue
+        Lets requests wait for room.
     """
 
     def __init__(
@@ -54,6 +63,8 @@
         admission: AdmissionControl,
         permit_wait: PermitWait,
         rejections: RejectionFactory,
+        gate: RoomGate,
+        queue: EntryQueue,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -62,11 +73,15 @@
         self._admission = admission
         self._permit_wait = permit_wait
         self._rejections = rejections
+        self._gate = gate
+        self._queue = queue
         self._random = Random()
 
     async def find_upstream(self, call: Call) -> UpstreamRecord:
         """
-        Find the upstream for a request; park the request while its key moves.
+        Find the upstream for a request, and take a unit of room there.
+
+        A request waits while its key moves, and while no upstream has room.
 
         Parameters
         ----------
@@ -76,7 +91,8 @@
         Returns
         -------
         UpstreamRecord
-            Upstream that should answer within the admission bound.
+            Upstream that should answer within the admission bound. The unit of room
+            must be given back when the attempt has ended.
 
         Raises
         ------
@@ -84,34 +100,103 @@
             If there is no such upstream.
         """
         quotas = self._view.quotas
-        record = await self._find_candidate(call)
+        record = await self._take_room(call)
         for _ in range(MAX_PERMITS):
-            if await self._permit_wait.acquire(call, record):
+            if await self._acquire_permit(call, record):
                 if self._permit_wait.may_still_send(call, record):
                     return record
                 quotas.give_back(record)
+                self._gate.release(record)
             else:
+                self._gate.release(record)
                 call.excluded_upstreams.add(record.id)
                 if call.service.keyed or not self._candidates.list_in_service(call):
                     break
-            record = await self._find_candidate(call)
+            record = await self._take_room(call)
+        else:
+            self._gate.release(record)
         detail = f"upstream {record.id} takes no more requests"
         wait_s = quotas.estimate_wait_s(record, monotonic())
         raise self._rejections.refuse_unserved(
             call, Reason.RATE_LIMITED, detail, wait_s
         )
 
-    async def _find_candidate(self, call: Call) -> UpstreamRecord:
+    async def _acquire_permit(self, call: Call, record: UpstreamRecord) -> bool:
+        try:
+            return await self._permit_wait.acquire(call, record)
+        except BaseException:
+            self._gate.release(record)
+            raise
+
+    async def _take_room(self, call: Call) -> UpstreamRecord:
+        """Take a unit of room, or wait for one while the request can be served."""
+        started_at = monotonic()
+        record, others = await self._find_candidates(call)
+        while not self._queue.try_take(record):
+            now = monotonic()
+            latest_at = self._admission.find_latest(call, record, now)
+            records = (record, *others)
+            waiting_s = min(self._gate.estimate_wait_s(item, now) for item in records)
+            until = min(latest_at, now + RECHECK_S)
+            if now + waiting_s > latest_at or call.caller.disconnected.is_set():
+                raise self._rejections.refuse_full(
+                    call, record, now - started_at, waiting_s
+                )
+            taken = await self._queue.wait(call, records, latest_at, until)
+            if taken is not None:
+                if self._may_still_send(call, taken):
+                    return taken
+                self._gate.release(taken)
+            elif monotonic() < until:
+                # It was displaced by more urgent requests, or its caller has left.
+                raise self._rejections.refuse_full(
+                    call, record, monotonic() - started_at, waiting_s
+                )
+            if not call.service.keyed or not self._may_still_send(call, record):
+                record, others = await self._find_candidates(call)
+        return record
+
+    def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
+        """Whether an upstream found before a wait for room may get the request."""
+        view = self._view
+        if self._candidates.is_backed_off(record):
+            return False
+        if not self._candidates.is_allowed(call, record, monotonic()):
+            return False
+        key = call.metadata.key
+        if not call.service.keyed or key is None:
+            present = view.directory.get(record.id)
+            is_present = present is not None and present.born == record.born
+            return is_present and view.directory.accepts_requests(record)
+        key_range = view.find_owner(call.service.name, key)
+        owner = (record.id, record.born)
+        is_owner = key_range is not None and (key_range.owner, key_range.born) == owner
+        return is_owner and view.can_serve_keys(record)
+
+    async def _find_candidates(
+        self, call: Call
+    ) -> tuple[UpstreamRecord, list[UpstreamRecord]]:
+        """Return the upstream to use, and others for whose room it may wait, too."""
         if not call.service.keyed:
             candidates = self._candidates.list_candidates(call)
-            return self._choose_cheapest(call, candidates)
+            chosen = self._choose_cheapest(call, self._list_with_room(candidates))
+            return chosen, [other for other in candidates if other is not chosen]
         record = await self._candidates.find_owner(call)
         if not self._candidates.is_allowed(call, record, monotonic()):
             raise self._rejections.refuse_unserved(
                 call, Reason.RATE_LIMITED, f"upstream {record.id} is cold", 0.5
             )
         self._admission.admit(call, record)
-        return record
+        return record, []
+
+    def _list_with_room(
+        self, candidates: Iterable[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that have room, or all if none has."""
+        now = monotonic()
+        records = list(candidates)
+        open_records = [item for item in records if self._gate.has_room(item, now)]
+        return open_records or records
 
     def _choose_cheapest(
         self, call: Call, candidates: Sequence[UpstreamRecord]
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -5,6 +5,7 @@
 from plantaincart_core.choice import ChoiceSettings
 from plantaincart_core.keymove import KeyBalanceSettings
 from plantaincart_core.upstreamload import LoadSettings
+from plantaincart_core.waitingorder import QueueBounds
 
 __all__ = [
     "AdmissionSettings",
@@ -404,6 +405,7 @@
     send: SendSettings = field(default_factory=SendSettings)
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    queue: QueueBounds = field(default_factory=QueueBounds)
     coordination: CoordinationSettings = field(default_factory=CoordinationSettings)
     load: LoadSettings = field(default_factory=LoadSettings)
     spread: KeyBalanceSettings = field(default_factory=KeyBalanceSettings)
