Cut admission by rank at all instances while a service is short of room

Instances report requests by service and rank while a service is busy or turns requests away. The coordinator measures what upstreams finish, divides it by rank with a floor for each, and tells the shares with its notices. Requests that are turned away are told to return spread over the time in which they can still be served.

--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -5,6 +5,7 @@
 
 from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.verdict import Refusal
 
 from plantaincart_router.direct.call import Call
 from plantaincart_router.direct.cost import CostEstimator
@@ -36,6 +37,18 @@
             If it must not be served now.
         """
 
+    def record_end(self, call: Call, refusal: Refusal | None) -> None:  # noqa: B027
+        """
+        Take note of the end of a request that was let pass by all policies.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        refusal : Refusal or None
+            How it was turned away; None if it was answered.
+        """
+
 
 class AdmissionControl:
     """
--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -47,6 +47,8 @@
         Upstream to which it was sent last; empty before the first attempt.
     account_priority : int
         Priority of the caller's account; 0 without one.
+    admitted : bool
+        Whether all entry policies have let it pass.
     """
 
     request: HttpRequest
@@ -63,6 +65,7 @@
     excluded_upstreams: set[str] = field(default_factory=set)
     upstream: str = ""
     account_priority: int = 0
+    admitted: bool = False
 
     @property
     def rank(self) -> Rank:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -6,10 +6,15 @@
 
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.traffic import pick_service
-from plantaincart_core.verdict import Reason, RefusedError, refuse_may_have_run
+from plantaincart_core.verdict import (
+    Reason,
+    Refusal,
+    RefusedError,
+    refuse_may_have_run,
+)
 from plantaincart_core.windowbudget import WindowRetryBudget
 
-from plantaincart_router.direct.admissioncontrol import AdmissionControl
+from plantaincart_router.direct.admissioncontrol import AdmissionControl, EntryPolicy
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
@@ -19,6 +24,7 @@
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.rankadmission import RankAdmission
 from plantaincart_router.direct.rejection import RejectionFactory
 from plantaincart_router.direct.relayserver import RelayHandler
 from plantaincart_router.direct.relaytransport import (
@@ -110,6 +116,9 @@
             self._rejections,
             metrics,
         )
+        self._policies: tuple[EntryPolicy, ...] = (
+            RankAdmission(view.rank_fact, self._costs, self._rejections, metrics),
+        )
         self._gate: RoomGate = OpenRoomGate()
         self._selector = UpstreamSelector(
             settings,
@@ -121,6 +130,7 @@
             self._rejections,
             self._gate,
             EntryQueue(self._gate, settings.queue),
+            metrics,
         )
         self._sender = UpstreamSender(
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
@@ -157,10 +167,12 @@
             await self._wait_for_configuration(metadata, started_at)
             call = self._start_call(request, metadata, caller, started_at)
             answer = await self._run(call)
+            self._record_end(call, None)
             self._log_request_end(metadata, call, answer.status, "answered", "")
             return answer
         except RefusedError as error:
             refusal = error.refusal
+            self._record_end(call, refusal)
             self._log_request_end(
                 metadata, call, refusal.status, refusal.reason.value, refusal.detail
             )
@@ -220,6 +232,7 @@
         budget = self._find_budget(call.service.name)
         budget.record_request(call.started_at, call.retry_rank)
         self._check_quarantine(call)
+        self._admit(call)
         while True:
             record = await self._selector.find_upstream(call)
             try:
@@ -258,6 +271,18 @@
         finally:
             self._gate.release(record)
 
+    def _admit(self, call: Call) -> None:
+        now = monotonic()
+        for policy in self._policies:
+            policy.check(call, now)
+        call.admitted = True
+
+    def _record_end(self, call: Call | None, refusal: Refusal | None) -> None:
+        if call is None or not call.admitted:
+            return
+        for policy in self._policies:
+            policy.record_end(call, refusal)
+
     def _check_quarantine(self, call: Call) -> None:
         """Reject a request under which several upstreams have ended."""
         view = self._view
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -13,6 +13,8 @@
     MapChange,
     MemberReport,
     Quota,
+    RankReport,
+    RankShare,
 )
 
 __all__ = ["check_notice", "check_report"]
@@ -33,6 +35,7 @@
 MAX_LIMIT_PER_S = 1e6
 MAX_PERMITS = 10**4
 MAX_PERMIT_WAIT_S = 1e7
+MAX_RANKS = 1024
 
 
 def check_report(report: MemberReport) -> None:
@@ -64,6 +67,10 @@
     _check_crashes(report.crashes)
     _check_limits(report.limits)
     _check_range([limit.waiting for limit in report.limits], MAX_COUNT, "waiting")
+    _check_ranks(report.ranks)
+    for item in report.ranks:
+        counts = [item.asked, item.cut, item.served, item.refused]
+        _check_range(counts, MAX_COUNT, "requests by rank")
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
@@ -103,6 +110,8 @@
     _check_range([quota.permits for quota in notice.quotas], MAX_PERMITS, "permits")
     waits_s = [quota.wait_s for quota in notice.quotas]
     _check_range(waits_s, MAX_PERMIT_WAIT_S, "wait for a permit")
+    _check_ranks(notice.rank_shares)
+    _check_range([item.share for item in notice.rank_shares], 1.0, "share of a rank")
 
 
 def _check_load(load: KeyLoad) -> None:
@@ -130,6 +139,13 @@
     _check_range(named, MAX_LIMIT_PER_S, "limit")
 
 
+def _check_ranks(ranks: Sequence[RankReport | RankShare]) -> None:
+    _check(len(ranks) <= MAX_RANKS, "number of ranks")
+    _check_range([len(item.service) for item in ranks], MAX_NAME_LENGTH, "service")
+    priorities = [value for item in ranks for value in (item.account, item.route)]
+    _check_range(map(abs, priorities), MAX_COUNT, "rank")
+
+
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(":")
     is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -15,11 +15,13 @@
     "relayed": ("Requests sent through another instance", ("outcome",)),
     "relays": ("Requests sent to upstreams for other instances", ("outcome",)),
     "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
+    "rank_cut": ("Requests that the share of their rank didn't admit", ("service",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
 HISTOGRAMS = {
     "request_seconds": ("Time from the whole request to its answer", ("route",)),
     "upstream_seconds": ("Time from sending to the whole answer", ("service",)),
+    "entry_wait_seconds": ("Time that requests waited for room", ("service",)),
     "park_seconds": ("Time that requests waited for keys that move", ("service",)),
 }
 
--- a/packages/router/plantaincart_router/direct/rejection.py
+++ b/packages/router/plantaincart_router/direct/rejection.py
@@ -6,6 +6,7 @@
 
 from plantaincart_core.admission import Admission, LatencyEstimate
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.returnspread import ReturnSpread
 from plantaincart_core.verdict import (
     Reason,
     Refusal,
@@ -24,6 +25,8 @@
 MIN_UNOWNED_RETRY_S = 0.5
 # Maximum number of upstreams that the text of a rejection names.
 MAX_LISTED_UPSTREAMS = 3
+# Share of the time left for which callers wait before they return.
+RETURN_SHARE = 1.0 / 3.0
 
 
 class RejectionFactory:
@@ -47,6 +50,7 @@
         self._view = view
         self._transport = transport
         self._random = Random()
+        self._spread = ReturnSpread()
 
     def refuse_unserved(
         self, call: Call, reason: Reason, detail: str, retry_after_s: float
@@ -204,4 +208,45 @@
             f"upstream {record.id}: no room after {waited_s:.2f} s, expected in "
             f"{waiting_s:.2f} s"
         )
-        return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, waiting_s)
+        work_s = self._view.loads.estimate_work_s(call.route.name, 0.0)
+        return self.refuse_short(call, detail, waiting_s, work_s)
+
+    def refuse_short(
+        self, call: Call, detail: str, waiting_s: float, work_s: float
+    ) -> RefusedError:
+        """
+        Return the error for a request that is turned away for lack of room.
+
+        Parameters
+        ----------
+        call : Call
+            The request. If an earlier attempt may have run, the verdict says so.
+        detail : str
+            Text for the log.
+        waiting_s : float
+            Expected seconds until there is room.
+        work_s : float
+            Expected duration of the request in seconds.
+
+        Notes
+        -----
+        Callers wait for a third of the time that they have left at most. They are told
+        to return so that they can still be served in time, if there is room by then,
+        and spread over that time.
+        """
+        if call.may_have_run:
+            return RefusedError(refuse_may_have_run(Reason.UPSTREAM_LOST, detail))
+        settings = self._settings.admission
+        earliest_s = max(settings.least_retry_s, waiting_s)
+        in_time_s = call.started_at + call.route.target_s - work_s - monotonic()
+        latest_s = RETURN_SHARE * call.remaining_s
+        if in_time_s > earliest_s:
+            latest_s = min(latest_s, in_time_s)
+        retry_s = self._spread.choose_delay_s(earliest_s, latest_s)
+        refusal = Refusal(
+            status=503,
+            reason=Reason.QUEUE_FULL,
+            detail=detail,
+            retry_after_s=min(retry_s, settings.most_retry_s),
+        )
+        return RefusedError(refusal)
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -13,6 +13,7 @@
 from plantaincart_router.direct.candidates import CandidateFinder
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.entryqueue import EntryQueue
+from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.rejection import RejectionFactory
 from plantaincart_router.direct.roomgate import RoomGate
@@ -52,6 +53,8 @@
         Room that this instance may use at upstreams.
     queue : EntryQueue
         Lets requests wait for room.
+    metrics : RouterMetrics
+        Counters and histograms.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         rejections: RejectionFactory,
         gate: RoomGate,
         queue: EntryQueue,
+        metrics: RouterMetrics,
     ) -> None:
         self._settings = settings
         self._view = view
@@ -75,6 +79,7 @@
         self._rejections = rejections
         self._gate = gate
         self._queue = queue
+        self._metrics = metrics
         self._random = Random()
 
     async def find_upstream(self, call: Call) -> UpstreamRecord:
@@ -130,8 +135,8 @@
 
     async def _take_room(self, call: Call) -> UpstreamRecord:
         """Take a unit of room, or wait for one while the request can be served."""
-        started_at = monotonic()
         record, others = await self._find_candidates(call)
+        started_at = monotonic()
         while not self._queue.try_take(record):
             now = monotonic()
             latest_at = self._admission.find_latest(call, record, now)
@@ -145,6 +150,10 @@
             taken = await self._queue.wait(call, records, latest_at, until)
             if taken is not None:
                 if self._may_still_send(call, taken):
+                    waited_s = monotonic() - started_at
+                    self._metrics.observe(
+                        "entry_wait_seconds", waited_s, call.service.name
+                    )
                     return taken
                 self._gate.release(taken)
             elif monotonic() < until:
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -24,6 +24,7 @@
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
+from plantaincart_router.direct.rankfact import RankFact
 from plantaincart_router.direct.relayfact import RelayFact
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
@@ -73,6 +74,8 @@
         Limits that upstreams have named.
     relay_fact : RelayFact
         Relays, and whether this instance needs them.
+    rank_fact : RankFact
+        Requests by rank, and the share of each that is admitted.
     facts : tuple of SharedFact
         All that instances share through the coordinator, besides the map of owners.
     """
@@ -109,8 +112,10 @@
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
+        self.rank_fact = RankFact(self.loads, self.directory)
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
+            self.rank_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
