--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -5,6 +5,7 @@
 
 from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.verdict import Refusal
 
 from plantaincart_router.direct.call import Call
 from plantaincart_router.direct.cost import CostEstimator
@@ -36,6 +37,18 @@
             If it must not be served now.
         """
 
+    def record_end(self, call: Call, refusal: Refusal | None) -> None:  # noqa: B027
+        """
+        Take note of the end of a request that was let pass by all policies.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        refusal : Refusal or None
+            How it was turned away; None if it was answered.
+        """
+
 
 class AdmissionControl:
     """
@@ -93,3 +106,27 @@
         expected, admission = self.assess(call, record)
         if not admission.admitted:
             raise self._rejections.refuse_overloaded(call, record, expected, admission)
+
+    def find_latest(self, call: Call, record: UpstreamRecord, now: float) -> float:
+        """
+        Return the latest time at which a request may be sent.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        record : UpstreamRecord
+            Upstream that would run it.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Time in seconds; may be in the past.
+        """
+        standing = self._view.loads.has_standing_queue(record.id, now)
+        share = self._settings.admission.choose_share(call.route.priority, standing)
+        expected = self._costs.estimate(call, record)
+        target_at = call.started_at + share * call.route.target_s
+        return min(target_at, call.deadline_at) - expected.work_s
--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -54,6 +54,8 @@
         The caller's account; None without one.
     has_token : bool
         Whether it has taken a token of the account's quota.
+    admitted : bool
+        Whether all entry policies have let it pass.
     """
 
     request: HttpRequest
@@ -73,12 +75,25 @@
     account_priority: int = 0
     account: ClientAccount | None = None
     has_token: bool = False
+    admitted: bool = False
 
     @property
     def rank(self) -> Rank:
         """Rank of the request among those that compete for the same upstreams."""
         return Rank(self.account_priority, self.route.priority)
 
+    @property
+    def retry_rank(self) -> Rank:
+        """
+        Rank of the request among those that need retries.
+
+        One that isn't idempotent goes before others of its account: its caller can't
+        repeat it once it may have run.
+        """
+        if self.route.idempotent:
+            return self.rank
+        return Rank(self.account_priority, min(0, self.route.priority))
+
     @property
     def remaining_s(self) -> float:
         """Remaining time in seconds until the deadline."""
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -8,6 +8,7 @@
 from plantaincart_core.traffic import pick_service
 from plantaincart_core.verdict import (
     Reason,
+    Refusal,
     RefusedError,
     Verdict,
     refuse_may_have_run,
@@ -15,22 +16,25 @@
 from plantaincart_core.windowbudget import WindowRetryBudget
 
 from plantaincart_router.direct.accountgate import AccountGate
-from plantaincart_router.direct.admissioncontrol import AdmissionControl
+from plantaincart_router.direct.admissioncontrol import AdmissionControl, EntryPolicy
 from plantaincart_router.direct.answermemory import AnswerMemory
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.cost import CostEstimator
+from plantaincart_router.direct.entryqueue import EntryQueue
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.rankadmission import RankAdmission
 from plantaincart_router.direct.rejection import RejectionFactory
 from plantaincart_router.direct.relayserver import RelayHandler
 from plantaincart_router.direct.relaytransport import (
     RelayTransport,
     ReroutingTransport,
 )
+from plantaincart_router.direct.roomgate import OpenRoomGate, RoomGate
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
@@ -120,6 +124,10 @@
             self._rejections,
             metrics,
         )
+        self._policies: tuple[EntryPolicy, ...] = (
+            RankAdmission(view.rank_fact, self._costs, self._rejections, metrics),
+        )
+        self._gate: RoomGate = OpenRoomGate()
         self._selector = UpstreamSelector(
             settings,
             view,
@@ -128,6 +136,9 @@
             AdmissionControl(settings, view, self._costs, self._rejections),
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
+            self._gate,
+            EntryQueue(self._gate, settings.queue),
+            metrics,
         )
         sender = UpstreamSender(
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
@@ -177,12 +188,14 @@
                 await self._accounts.acquire(call)
                 answer = await self._run(call)
             self._answer_memory.record_answer(call.route.name, len(answer.body))
+            self._record_end(call, None)
             self._log_request_end(metadata, call, answer.status, "answered", "")
             return answer
         except RefusedError as error:
             refusal = error.refusal
             if call is not None and refusal.verdict is Verdict.not_run:
                 self._accounts.give_back(call)
+            self._record_end(call, refusal)
             self._log_request_end(
                 metadata, call, refusal.status, refusal.reason.value, refusal.detail
             )
@@ -246,14 +259,14 @@
             task = current_task()
             if task is not None:
                 call.caller.set_disconnect_callback(lambda: _cancel(task))
-        self._find_budget(call.service.name).record_request(call.started_at)
+        budget = self._find_budget(call.service.name)
+        budget.record_request(call.started_at, call.retry_rank)
         self._check_quarantine(call)
+        self._admit(call)
         while True:
             record = await self._selector.find_upstream(call)
-            # The request may have waited, or ended an upstream.
-            self._check_quarantine(call)
             try:
-                return await self.silence.send(call, record)
+                return await self._send_once(call, record)
             except NotRunError as error:
                 self._metrics.count("attempts", call.service.name, "not-run")
                 write_event(
@@ -279,6 +292,27 @@
                 )
                 self._check_retry_after_loss(call, str(error))
 
+    async def _send_once(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
+        """Send a request to an upstream at which a unit of room was taken."""
+        try:
+            # The request may have waited, or ended an upstream.
+            self._check_quarantine(call)
+            return await self._sender.send(call, record)
+        finally:
+            self._gate.release(record)
+
+    def _admit(self, call: Call) -> None:
+        now = monotonic()
+        for policy in self._policies:
+            policy.check(call, now)
+        call.admitted = True
+
+    def _record_end(self, call: Call | None, refusal: Refusal | None) -> None:
+        if call is None or not call.admitted:
+            return
+        for policy in self._policies:
+            policy.record_end(call, refusal)
+
     def _check_quarantine(self, call: Call) -> None:
         """Reject a request under which several upstreams have ended."""
         view = self._view
@@ -350,7 +384,7 @@
         if call.remaining_s < max(work_s, self._settings.send.least_left_s):
             return False
         budget = self._find_budget(call.service.name)
-        allowed = budget.spend(monotonic(), self._view.members)
+        allowed = budget.spend(monotonic(), self._view.members, call.retry_rank)
         if not allowed:
             self._metrics.count("repeats_denied", call.service.name)
         return allowed
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -18,11 +18,13 @@
     "unknown_keys": ("Requests without the key of an account", ("route",)),
     "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
     "silent": ("Attempts without a byte of an answer", ("service", "result")),
+    "rank_cut": ("Requests that the share of their rank didn't admit", ("service",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
 HISTOGRAMS = {
     "request_seconds": ("Time from the whole request to its answer", ("route",)),
     "upstream_seconds": ("Time from sending to the whole answer", ("service",)),
+    "entry_wait_seconds": ("Time that requests waited for room", ("service",)),
     "park_seconds": ("Time that requests waited for keys that move", ("service",)),
 }
 
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -28,6 +28,7 @@
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
+from plantaincart_router.direct.rankfact import RankFact
 from plantaincart_router.direct.relayfact import RelayFact
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
@@ -82,6 +83,8 @@
         Services whose upstreams fall silent.
     account_fact : AccountFact
         Client accounts, and this instance's part of their quotas.
+    rank_fact : RankFact
+        Requests by rank, and the share of each that is admitted.
     facts : tuple of SharedFact
         All that instances share through the coordinator, besides the map of owners.
     """
@@ -121,9 +124,11 @@
         self.relay_fact = RelayFact(settings.data_centre)
         self.silence_fact = SilenceFact(SilenceSettings())
         self.account_fact = AccountFact(settings)
+        self.rank_fact = RankFact(self.loads, self.directory)
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             self.silence_fact,
+            self.rank_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
