--- /dev/null
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -0,0 +1,233 @@
+"""The room at upstreams that one instance may use."""
+
+from collections import Counter, deque
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from math import ceil
+
+from plantaincart_core.room import RoomSettings
+
+__all__ = ["RoomGrant", "RoomShare", "list_fallback"]
+
+# Intervals into which the memory of the greatest demand is divided.
+DEMAND_STEPS = 4
+# Units wanted as a multiple of the greatest recent demand, and in addition: demand of
+# few requests at a time varies by about its own size.
+DEMAND_FACTOR = 1.25
+DEMAND_EXTRA = 1
+# Part of an owner's room that one instance may use before it is divided.
+OPEN_SHARE = 0.25
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoomGrant:
+    """
+    What an instance was told about room.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of the coordinator's term.
+    version : int
+        Version of the units.
+    units : mapping of str to int
+        Units by upstream; 0 for owners whose room is divided among others.
+    rooms : mapping of str to int
+        Room at an upstream, by service whose room is divided.
+    asked_at : float
+        Time in seconds of this instance's report that was answered.
+    instances : int
+        Number of instances.
+    rank : int
+        Index of this one among them.
+    """
+
+    epoch: int = 0
+    version: int = 0
+    units: Mapping[str, int] = field(default_factory=dict)
+    rooms: Mapping[str, int] = field(default_factory=dict)
+    asked_at: float = float("-inf")
+    instances: int = 1
+    rank: int = 0
+
+
+def list_fallback(upstreams: Sequence[str], instances: int, rank: int) -> list[str]:
+    """
+    List the upstreams at which an instance that hears nothing may use one unit.
+
+    Parameters
+    ----------
+    upstreams : sequence of str
+        Upstreams of the service, in the same order at all instances.
+    instances, rank : int
+        Number of instances, and the index of this one.
+
+    Returns
+    -------
+    list of str
+        At most `instances / len(upstreams)` instances, rounded up, share an upstream.
+
+    Examples
+    --------
+    >>> list_fallback(["u1", "u2", "u3"], instances=2, rank=1)
+    ['u2']
+    >>> list_fallback(["u1", "u2", "u3"], instances=5, rank=4)
+    ['u2']
+    """
+    if not upstreams:
+        return []
+    if instances >= len(upstreams):
+        return [upstreams[rank % len(upstreams)]]
+    return [name for index, name in enumerate(upstreams) if index % instances == rank]
+
+
+class RoomShare:
+    """
+    Units that one instance has, uses and wants.
+
+    Parameters
+    ----------
+    settings : RoomSettings
+        Times and shares.
+
+    Examples
+    --------
+    >>> share = RoomShare(RoomSettings())
+    >>> share.apply(RoomGrant(version=1, units={"u1": 1}, rooms={"desk": 8},
+    ...                       asked_at=0.0))
+    >>> share.may_use("u1", "desk", now=1.0)
+    True
+    >>> share.record_start("u1", "desk", now=1.0)
+    >>> share.may_use("u1", "desk", now=1.1)
+    False
+    >>> share.list_wants(now=1.1)
+    {'desk': 3}
+    >>> share.list_wants(now=9.0)
+    {'desk': 3}
+    >>> share.record_end("u1", "desk", now=9.0)
+    >>> share.list_wants(now=20.0)
+    {}
+    """
+
+    def __init__(self, settings: RoomSettings) -> None:
+        self._settings = settings
+        self.grant = RoomGrant()
+        self._in_use: Counter[str] = Counter()
+        self._waiting: Counter[str] = Counter()
+        self._demand: Counter[str] = Counter()
+        self._peaks: dict[str, deque[tuple[float, int]]] = {}
+
+    def apply(self, grant: RoomGrant) -> None:
+        """Adopt what was told, unless it is older than what is known."""
+        present = self.grant
+        if (grant.epoch, grant.version) >= (present.epoch, present.version):
+            self.grant = grant
+
+    def is_divided(self, service: str) -> bool:
+        """Return whether the room of a service is divided among the instances."""
+        return service in self.grant.rooms
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether the units may still be used."""
+        return now - self.grant.asked_at < self._settings.lease_s
+
+    def count_in_use(self, upstream: str) -> int:
+        """Return this instance's requests at an upstream."""
+        return self._in_use[upstream]
+
+    def may_use(self, upstream: str, service: str, now: float) -> bool:
+        """Return whether a unit of an upstream of a service without keys is free."""
+        if not self.is_divided(service):
+            return True
+        units = self.grant.units.get(upstream, 0) if self.has_lease(now) else 0
+        return self._in_use[upstream] < units
+
+    def may_use_owner(
+        self, upstream: str, service: str, in_flight: float, now: float
+    ) -> bool:
+        """
+        Return whether a further request may be sent to the owner of a key.
+
+        Parameters
+        ----------
+        upstream, service : str
+            The owner, and its service.
+        in_flight : float
+            Estimated requests of all instances there.
+        now : float
+            Present time in seconds.
+        """
+        room = self.grant.rooms.get(service)
+        if room is None:
+            return True
+        own = self._in_use[upstream]
+        if self.has_lease(now):
+            units = self.grant.units.get(upstream)
+            if units is not None:
+                return own < units
+            return own < max(1, int(room * OPEN_SHARE)) and in_flight < room - 1
+        return own < 1 and in_flight < room - 1
+
+    def record_start(self, upstream: str, service: str, now: float) -> None:
+        """Record that a request begins to use a unit."""
+        self._in_use[upstream] += 1
+        self._record_demand(service, 1, now)
+
+    def record_end(self, upstream: str, service: str, now: float) -> None:
+        """Record that a request has ended."""
+        self._in_use[upstream] -= 1
+        if self._in_use[upstream] <= 0:
+            del self._in_use[upstream]
+        self._record_demand(service, -1, now)
+
+    def record_waiting(
+        self, upstream: str, service: str, change: int, now: float
+    ) -> None:
+        """Record that a request begins (1) or ends (-1) to wait for a unit."""
+        self._waiting[upstream] += change
+        if self._waiting[upstream] <= 0:
+            del self._waiting[upstream]
+        self._record_demand(service, change, now)
+
+    def list_wants(self, now: float) -> dict[str, int]:
+        """Return the units that this instance wants, by service."""
+        wants = {}
+        for service, peaks in list(self._peaks.items()):
+            while peaks and now - peaks[0][0] > self._settings.demand_memory_s:
+                peaks.popleft()
+            peak = max([self._demand[service], *(count for _, count in peaks)])
+            if peak > 0:
+                wants[service] = ceil(DEMAND_FACTOR * peak) + DEMAND_EXTRA
+            else:
+                del self._peaks[service]
+        return wants
+
+    def list_waiting(self) -> dict[str, int]:
+        """Return the requests that wait here, by upstream."""
+        return dict(self._waiting)
+
+    def list_held(self, now: float) -> dict[str, int]:
+        """Return the units that this instance may use."""
+        return dict(self.grant.units) if self.has_lease(now) else {}
+
+    def forget(self, upstream: str) -> None:
+        """Give up the units of an upstream that has ended."""
+        if upstream in self.grant.units:
+            units = {
+                name: count
+                for name, count in self.grant.units.items()
+                if name != upstream
+            }
+            self.grant = replace(self.grant, units=units)
+
+    def _record_demand(self, service: str, change: int, now: float) -> None:
+        self._demand[service] += change
+        if change < 0:
+            return
+        peaks = self._peaks.setdefault(service, deque())
+        step_s = self._settings.demand_memory_s / DEMAND_STEPS
+        count = self._demand[service]
+        if peaks and now - peaks[-1][0] < step_s:
+            peaks[-1] = (peaks[-1][0], max(peaks[-1][1], count))
+        else:
+            peaks.append((now, count))
--- /dev/null
+++ b/packages/core/plantaincart_core/tests/test_room.py
@@ -0,0 +1,237 @@
+"""Division of room under named loads, without a network."""
+
+from collections import Counter, deque
+from random import Random
+
+import pytest
+from plantaincart_core.room import RoomSettings
+from plantaincart_core.roomledger import MemberRoom, RoomLedger, UpstreamRoom
+from plantaincart_core.roomshare import RoomGrant, RoomShare, list_fallback
+
+SETTINGS = RoomSettings()
+REPORT_S = 0.25
+STEP_S = 0.005
+SLOTS = 2
+ROOM = 10
+
+
+class Load:
+    """Instances that send to upstreams by what a ledger has given them."""
+
+    def __init__(self, instances, upstreams, keyed=False, speeds=(1.0,), work_s=0.06):
+        self.random = Random(5)
+        self.keyed = keyed
+        self.work_s = work_s
+        self.speeds = [speeds[i % len(speeds)] for i in range(upstreams)]
+        self.names = [f"u{number}" for number in range(upstreams)]
+        self.ledger = RoomLedger(SETTINGS, 100, Random(3), 0, 0.0)
+        rooms = {
+            name: UpstreamRoom(
+                service="desk", data_centre="", units=ROOM - 2, keyed=keyed
+            )
+            for name in self.names
+        }
+        self.ledger.set_rooms(rooms)
+        self.shares = [RoomShare(SETTINGS) for _ in range(instances)]
+        self.waiting = [deque() for _ in self.shares]
+        self.known = Counter()
+        self.queues = {name: deque() for name in self.names}
+        self.running = {name: [] for name in self.names}
+        self.sent = self.full = self.late = 0
+        self.waits = []
+
+    def report(self, number, now):
+        share = self.shares[number]
+        report = MemberRoom(
+            version=share.grant.version,
+            held=share.list_held(now),
+            in_use={
+                n: share.count_in_use(n) for n in self.names if share.count_in_use(n)
+            },
+            wants={} if self.keyed else share.list_wants(now),
+            waiting=share.list_waiting() if self.keyed else {},
+        )
+        self.ledger.record_report(str(number), report, now)
+        version, units = self.ledger.grant(str(number), now)
+        share.apply(
+            RoomGrant(
+                epoch=1,
+                version=version,
+                units=units,
+                rooms={"desk": ROOM},
+                asked_at=now,
+            )
+        )
+
+    def may_use(self, share, name, now):
+        if self.keyed:
+            return share.may_use_owner(name, "desk", self.known[name], now)
+        return share.may_use(name, "desk", now)
+
+    def send(self, number, now):
+        """Send what waits at an instance, as far as it has room."""
+        share, waiting = self.shares[number], self.waiting[number]
+        while waiting:
+            arrived_at, key = waiting[0]
+            names = [key] if self.keyed else self.names
+            names = [name for name in names if self.may_use(share, name, now)]
+            if not names:
+                return
+            name = min(names, key=lambda n: (self.known[n], self.random.random()))
+            waiting.popleft()
+            share.record_waiting(key, "desk", -1, now)
+            share.record_start(name, "desk", now)
+            self.waits.append(now - arrived_at)
+            self.sent += 1
+            if len(self.queues[name]) + len(self.running[name]) >= ROOM:
+                self.full += 1
+                share.record_end(name, "desk", now)
+            else:
+                self.queues[name].append(number)
+
+    def run(self, seconds, per_s, choose_key=None, start=0.0):
+        steps = int(seconds / STEP_S)
+        count = len(self.shares)
+        for step in range(steps):
+            now = start + step * STEP_S
+            for number in range(count):
+                phase = number * REPORT_S / count
+                if (now - phase) % REPORT_S < STEP_S:
+                    self.report(number, now)
+            if step % round(REPORT_S / STEP_S) == 0:
+                self.known = Counter(
+                    {n: len(self.queues[n]) + len(self.running[n]) for n in self.names}
+                )
+            for _ in range(self.draw(per_s * STEP_S)):
+                number = self.random.randrange(count)
+                key = choose_key(self.random) if choose_key else self.names[0]
+                self.waiting[number].append((now, key))
+                self.shares[number].record_waiting(key, "desk", 1, now)
+            for number in range(count):
+                if self.waiting[number]:
+                    self.send(number, now)
+            self.work(now)
+
+    def draw(self, mean):
+        return int(mean) + (self.random.random() < mean % 1.0)
+
+    def work(self, now):
+        for name, speed in zip(self.names, self.speeds, strict=True):
+            for end, number in [x for x in self.running[name] if x[0] <= now]:
+                self.running[name].remove((end, number))
+                self.shares[number].record_end(name, "desk", now)
+            while self.queues[name] and len(self.running[name]) < SLOTS:
+                work_s = self.work_s * self.random.uniform(0.5, 1.5) / speed
+                self.running[name].append((now + work_s, self.queues[name].popleft()))
+
+    def find_wait(self, share):
+        return sorted(self.waits)[int(share * (len(self.waits) - 1))]
+
+
+@pytest.mark.parametrize("instances", [70, 195, 300])
+def test_fast_upstream_and_many_instances(instances):
+    """All sent to an upstream that looked idle, which reset what it couldn't hold."""
+    load = Load(instances, 43, speeds=(1.0, 1.0, 1.6))
+    load.run(6.0, per_s=600.0)
+    assert load.full == 0
+    assert load.sent > 3400
+    # Few wait although slots are free.
+    assert load.find_wait(0.9) <= 0.05
+
+
+def test_burst_of_1_6():
+    load = Load(70, 43)
+    load.run(3.0, per_s=600.0)
+    load.run(3.0, per_s=960.0, start=3.0)
+    assert load.full == 0
+    assert load.find_wait(0.95) <= 0.1
+
+
+def test_half_of_the_upstreams_slow():
+    load = Load(70, 43, speeds=(1.0, 0.3))
+    load.run(6.0, per_s=600.0)
+    assert load.full == 0
+    assert load.find_wait(0.95) <= 0.1
+
+
+def test_hot_key_at_one_owner():
+    """All instances sent a popular key's requests to its owner at once."""
+    load = Load(70, 58, keyed=True, work_s=0.13)
+
+    def choose(random):
+        return "u7" if random.random() < 0.35 else random.choice(load.names)
+
+    load.run(3.0, per_s=250.0, choose_key=lambda random: random.choice(load.names))
+    assert load.full <= 0.01 * load.sent
+    sent = load.sent
+    load.run(5.0, per_s=250.0, choose_key=choose, start=3.0)
+    assert load.full <= 0.01 * (load.sent - sent)
+    # The owner isn't left idle while requests wait for it.
+    assert len(load.running["u7"]) == SLOTS
+
+
+def test_units_are_given_back_and_used_elsewhere():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=4, keyed=False)}
+    )
+    ledger.record_report("r1", MemberRoom(wants={"desk": 4}), 0.0)
+    version, units = ledger.grant("r1", 0.0)
+    assert units == {"u1": 3}
+    ledger.record_report("r2", MemberRoom(wants={"desk": 4}), 0.1)
+    assert ledger.grant("r2", 0.1)[1] == {"u1": 1}
+    # The first needs none any more; its units count until it has confirmed that.
+    ledger.record_report("r1", MemberRoom(version=version, held=units), 0.2)
+    version, units = ledger.grant("r1", 0.2)
+    assert sum(units.values()) <= 1
+    assert ledger.count_taken("u1") == 4
+    ledger.record_report("r1", MemberRoom(version=version, held=units), 0.3)
+    assert ledger.count_taken("u1") <= 2
+
+
+def test_earlier_build_counts_by_its_requests():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=4, keyed=False)}
+    )
+    ledger.record_report("old", MemberRoom(knows_room=False, in_use={"u1": 3}), 0.0)
+    assert ledger.grant("old", 0.0) is None
+    ledger.record_report("r1", MemberRoom(wants={"desk": 4}), 0.0)
+    assert ledger.grant("r1", 0.0)[1] == {"u1": 1}
+
+
+def test_lost_instance_counts_until_its_lease_has_ended():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=4, keyed=False)}
+    )
+    ledger.record_report("r1", MemberRoom(wants={"desk": 9}), 0.0)
+    ledger.grant("r1", 0.0)
+    ledger.retain([], 3.0)
+    assert ledger.count_taken("u1") == 3
+    ledger.retain([], SETTINGS.lease_s + SETTINGS.end_s + 0.1)
+    assert ledger.count_taken("u1") == 0
+
+
+def test_new_ledger_gives_nothing_before_all_have_reported():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 2, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=4, keyed=False)}
+    )
+    ledger.record_report("r1", MemberRoom(held={"u1": 2}, wants={"desk": 4}), 0.0)
+    assert ledger.grant("r1", 0.0)[1] == {"u1": 2}
+    ledger.record_report("r2", MemberRoom(held={"u1": 1}, wants={"desk": 1}), 0.1)
+    assert ledger.grant("r2", 0.1)[1] == {"u1": 1}
+    assert ledger.grant("r1", 0.1)[1] == {"u1": 3}
+
+
+@pytest.mark.parametrize(("instances", "upstreams"), [(5, 4), (5, 43), (70, 43)])
+def test_instances_that_hear_nothing_share_the_reserve(instances, upstreams):
+    names = [f"u{number}" for number in range(upstreams)]
+    used = Counter(
+        name
+        for rank in range(instances)
+        for name in list_fallback(names, instances, rank)
+    )
+    assert max(used.values()) <= -(-instances // upstreams)
+    assert all(list_fallback(names, instances, rank) for rank in range(instances))
--- a/packages/router/plantaincart_router/direct/candidates.py
+++ b/packages/router/plantaincart_router/direct/candidates.py
@@ -13,6 +13,7 @@
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.rejection import RejectionFactory
+from plantaincart_router.direct.roomwait import RoomWait
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.transport import AttemptTransport
 from plantaincart_router.direct.view import SystemView
@@ -21,6 +22,8 @@
 
 # Seconds by which requests stay parked beyond the expected end of a handover.
 HANDOVER_MARGIN_S = 0.5
+# Seconds after which a caller for whom there was no room may come back.
+NO_ROOM_RETRY_S = 0.3
 
 
 class CandidateFilter(ABC):
@@ -89,6 +92,8 @@
         Tells to which upstreams connecting failed recently.
     costs : CostEstimator
         Expected duration of requests.
+    room_wait : RoomWait
+        Lets requests wait for room.
     rejections : RejectionFactory
         Makes the errors for requests without a candidate.
     metrics : RouterMetrics
@@ -102,6 +107,7 @@
         filters: Sequence[CandidateFilter],
         transport: AttemptTransport,
         costs: CostEstimator,
+        room_wait: RoomWait,
         rejections: RejectionFactory,
         metrics: RouterMetrics,
     ) -> None:
@@ -110,6 +116,7 @@
         self._filters = filters
         self._transport = transport
         self._costs = costs
+        self._room_wait = room_wait
         self._rejections = rejections
         self._metrics = metrics
 
@@ -165,6 +172,37 @@
             )
         return eligible
 
+    async def wait_for_room(
+        self, call: Call, records: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """
+        Return the upstreams with room for a request; wait for it if none has any.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        records : sequence of UpstreamRecord
+            Upstreams that may run it; at least one.
+
+        Returns
+        -------
+        list of UpstreamRecord
+            At least one.
+
+        Raises
+        ------
+        RefusedError
+            If there was no room in time.
+        """
+        open_records = await self._room_wait.wait(call, records)
+        if not open_records:
+            detail = f"no room at {len(records)} upstreams of {call.service.name}"
+            raise self._rejections.refuse_unserved(
+                call, Reason.QUEUE_FULL, detail, NO_ROOM_RETRY_S
+            )
+        return open_records
+
     def is_allowed(self, call: Call, record: UpstreamRecord, now: float) -> bool:
         """Return whether all filters allow an upstream."""
         return all(item.allows(call, record, now) for item in self._filters)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -24,6 +24,7 @@
     RelayTransport,
     ReroutingTransport,
 )
+from plantaincart_router.direct.roomwait import RoomWait
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
@@ -105,6 +106,7 @@
             [ColdFilter(view, cold_limiter)],
             self._transport,
             self._costs,
+            RoomWait(settings, view.room, self._costs, metrics),
             self._rejections,
             metrics,
         )
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -1,6 +1,6 @@
 """Bounds of the values in messages between instances, checked once on receipt."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from math import inf, isfinite
 
 from plantaincart_core.ownermap import KEY_COUNT
@@ -33,6 +33,10 @@
 MAX_LIMIT_PER_S = 1e6
 MAX_PERMITS = 10**4
 MAX_PERMIT_WAIT_S = 1e7
+MAX_ROOMS = 20_000
+# Some 30 years since a machine's start.
+MAX_CLOCK_S = 1e9
+MAX_VERSION = 2**62
 
 
 def check_report(report: MemberReport) -> None:
@@ -64,6 +68,10 @@
     _check_crashes(report.crashes)
     _check_limits(report.limits)
     _check_range([limit.waiting for limit in report.limits], MAX_COUNT, "waiting")
+    _check_room(report.room, report.room_asked_at, report.room_version)
+    for counts in (report.room_wants, report.room_waiting, report.room_full):
+        _check_counts(counts, "room")
+    _check_counts(report.room_queues, "room_queues")
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
@@ -98,6 +106,8 @@
     )
     _check(all(map(_is_key_range, notice.changes)), "key range")
     _check(all(map(_is_address, notice.relays)), "relays")
+    _check_room(notice.room, notice.room_asked_at, notice.room_version)
+    _check_counts(notice.room_services, "room_services")
     _check_crashes(notice.crashes)
     _check_limits(notice.quotas)
     _check_range([quota.permits for quota in notice.quotas], MAX_PERMITS, "permits")
@@ -105,6 +115,18 @@
     _check_range(waits_s, MAX_PERMIT_WAIT_S, "wait for a permit")
 
 
+def _check_room(units: Mapping[str, int], asked_at: float, version: int) -> None:
+    _check_counts(units, "room")
+    _check_range([asked_at], MAX_CLOCK_S, "room_asked_at")
+    _check_range([version], MAX_VERSION, "room_version")
+
+
+def _check_counts(counts: Mapping[str, float], name: str) -> None:
+    _check(len(counts) <= MAX_ROOMS, f"number of entries in {name}")
+    _check_range(map(len, counts), MAX_NAME_LENGTH, f"names in {name}")
+    _check_range(counts.values(), MAX_COUNT, name)
+
+
 def _check_load(load: KeyLoad) -> None:
     _check(len(load.keys) == len(load.work_ms), "lengths of a key load")
     _check_range(load.keys, KEY_COUNT - 1, "key")
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -15,6 +15,8 @@
     "relayed": ("Requests sent through another instance", ("outcome",)),
     "relays": ("Requests sent to upstreams for other instances", ("outcome",)),
     "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
+    "room_waits": ("Requests that waited for room", ("service", "outcome")),
+    "attempts_at_full": ("Requests that full upstreams turned away", ("service",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
 HISTOGRAMS = {
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -104,6 +104,7 @@
     async def _find_candidate(self, call: Call) -> UpstreamRecord:
         if not call.service.keyed:
             candidates = self._candidates.list_candidates(call)
+            candidates = await self._candidates.wait_for_room(call, candidates)
             return self._choose_cheapest(call, candidates)
         record = await self._candidates.find_owner(call)
         if not self._candidates.is_allowed(call, record, monotonic()):
@@ -111,6 +112,7 @@
                 call, Reason.RATE_LIMITED, f"upstream {record.id} is cold", 0.5
             )
         self._admission.admit(call, record)
+        await self._candidates.wait_for_room(call, [record])
         return record
 
     def _choose_cheapest(
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -20,6 +20,10 @@
 
 __all__ = ["UpstreamSender"]
 
+# Requests for each slot from which on an upstream that resets a connection or doesn't
+# answer is taken to be full.
+FULL_FACTOR = 2.0
+
 
 class UpstreamSender:
     """
@@ -82,6 +86,15 @@
         """
         if call.caller.disconnected.is_set() and not call.sent:
             raise refuse(Reason.TIMEOUT, "the caller has gone", 0.0, 503)
+        if not self._view.room.try_acquire(record, monotonic()):
+            # Taken by another request while this one waited for a permit.
+            raise NotRunError(f"no room at upstream {record.id}", False, True)
+        try:
+            return await self._send(call, record)
+        finally:
+            self._view.room.release(record)
+
+    async def _send(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
         loads = self._view.loads
         load = loads.get(record.id)
         in_progress = load.estimate_in_flight(monotonic(), loads.settings)
@@ -95,6 +108,8 @@
         try:
             answer = await self._exchange(call, record)
         except LostError as error:
+            if in_progress >= FULL_FACTOR * record.slots:
+                self._record_full(call, record)
             if error.timed_out:
                 waited_s = monotonic() - sent_at
                 expected_s = expected.wait_s + expected.work_s
@@ -107,6 +122,8 @@
         now = monotonic()
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
+        if metadata.load is not None:
+            self._view.room.record_load(record, metadata.load.waiting)
         if metadata.not_run:
             raise self._evaluate_not_run(call, record, metadata, answer)
         self._metrics.count("attempts", call.service.name, "answered")
@@ -141,12 +158,19 @@
         at_capacity = (
             metadata.request_count is None or metadata.request_count >= record.slots
         )
+        requests = metadata.request_count or 0
+        if requests >= FULL_FACTOR * record.slots and not metadata.misdirected:
+            self._record_full(call, record)
         if not at_capacity and not metadata.misdirected:
             self._view.loads.record_shed(record.id)
         return NotRunError(
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
 
+    def _record_full(self, call: Call, record: UpstreamRecord) -> None:
+        self._metrics.count("attempts_at_full", call.service.name)
+        self._view.room.record_full(record)
+
     async def _exchange(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
         attempt = Attempt(
             request=call.request,
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -5,7 +5,8 @@
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.ownermap import KeyRange, OwnerMap
-from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
+from plantaincart_core.room import RoomSettings
+from plantaincart_core.traffic import RouteIndex, RoutingConfiguration, ServicePolicy
 from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
@@ -25,8 +26,10 @@
 from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.relayfact import RelayFact
+from plantaincart_router.direct.roomfact import RoomFact
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
+from plantaincart_router.direct.sharedroom import SharedRoom
 from plantaincart_router.direct.store import TableRows
 from plantaincart_router.direct.unowned import UnownedRanges
 from plantaincart_router.log import write_event
@@ -71,6 +74,8 @@
         Requests under which upstreams have ended.
     quotas : UpstreamQuotas
         Limits that upstreams have named.
+    room : SharedRoom
+        Room that this instance may use at upstreams.
     relay_fact : RelayFact
         Relays, and whether this instance needs them.
     facts : tuple of SharedFact
@@ -109,11 +114,17 @@
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
+        self.room = SharedRoom(
+            RoomSettings(), self.directory, self.loads, self.find_policy
+        )
+        # Waiting for a permit and for room are reported in the same way.
+        self.room.ask = lambda: self.quotas.on_wait()
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
+            RoomFact(self.room, self.directory, self.find_policy),
         )
         self._changed = Event()
 
@@ -233,6 +244,11 @@
             self._wake_waiters()
         return True
 
+    def find_policy(self, service: str) -> ServicePolicy | None:
+        """Return the settings of a service, or None if it isn't described."""
+        config = self.routing_config
+        return None if config is None else config.services.get(service)
+
     def find_owner(self, service: str, key: int) -> KeyRange | None:
         """Return the range of a key, or None before a map was received."""
         owners = self.owners.get(service)
