--- a/packages/core/plantaincart_core/roomshare.py
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -1,7 +1,7 @@
 """The room at upstreams that one instance may use."""
 
 from collections import Counter, deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Container, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from math import ceil
 
@@ -120,6 +120,10 @@
     def apply(self, grant: RoomGrant) -> None:
         """Adopt what was told, unless it is older than what is known."""
         present = self.grant
+        if (grant.epoch, grant.version) == (present.epoch, present.version):
+            # Units that were given back since stay given back.
+            asked_at = max(grant.asked_at, present.asked_at)
+            grant = replace(grant, units=present.units, asked_at=asked_at)
         if (grant.epoch, grant.version) >= (present.epoch, present.version):
             self.grant = grant
 
@@ -206,6 +210,15 @@
         """Return the requests that wait here, by upstream."""
         return dict(self._waiting)
 
+    def give_back(self, keyed: Container[str]) -> None:
+        """Give back unused units at owners, of services that are divided by key."""
+        units = {}
+        for name, count in self.grant.units.items():
+            if name in keyed:
+                count = min(count, self._in_use[name] + self._waiting[name])
+            units[name] = count
+        self.grant = replace(self.grant, units=units)
+
     def list_held(self, now: float) -> dict[str, int]:
         """Return the units that this instance may use."""
         return dict(self.grant.units) if self.has_lease(now) else {}
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -56,7 +56,7 @@
         return {
             "room_asked_at": now,
             "room_version": share.grant.version,
-            "room": share.list_held(now),
+            "room": self._room.list_held(now),
             "room_wants": share.list_wants(now),
             "room_waiting": share.list_waiting(),
             "room_full": self._room.pop_full(),
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -4,6 +4,7 @@
 
 from plantaincart_core.choice import ChoiceSettings
 from plantaincart_core.keymove import KeyBalanceSettings
+from plantaincart_core.room import RoomSettings
 from plantaincart_core.upstreamload import LoadSettings
 
 __all__ = [
@@ -406,4 +407,5 @@
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
     coordination: CoordinationSettings = field(default_factory=CoordinationSettings)
     load: LoadSettings = field(default_factory=LoadSettings)
+    room: RoomSettings = field(default_factory=RoomSettings)
     spread: KeyBalanceSettings = field(default_factory=KeyBalanceSettings)
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -93,6 +93,11 @@
         """Give back a unit that was taken."""
         self.share.record_end(record.id, record.service, monotonic())
         self._listener()
+        share = self.share
+        is_unused = share.count_in_use(record.id) < share.grant.units.get(record.id, 0)
+        if is_unused and self._is_keyed(record.service):
+            # Others may wait for the unit, which is reported as given back.
+            self.ask()
 
     def has_room(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether `try_acquire` would succeed."""
@@ -141,6 +146,13 @@
             own=self.share.count_in_use(record.id),
         )
 
+    def list_held(self, now: float) -> dict[str, int]:
+        """Return the units that this instance goes on using."""
+        self.share.give_back(
+            {record.id for record in self._directory if self._is_keyed(record.service)}
+        )
+        return self.share.list_held(now)
+
     def pop_full(self) -> dict[str, int]:
         """Return the requests turned away since the last call, by service."""
         full, self._full = self._full, Counter()
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -5,7 +5,6 @@
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.ownermap import KeyRange, OwnerMap
-from plantaincart_core.room import RoomSettings
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration, ServicePolicy
 from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import (
@@ -115,7 +114,7 @@
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
         self.room = SharedRoom(
-            RoomSettings(), self.directory, self.loads, self.find_policy
+            settings.room, self.directory, self.loads, self.find_policy
         )
         # Waiting for a permit and for room are reported in the same way.
         self.room.ask = lambda: self.quotas.on_wait()
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -16,6 +16,7 @@
 
 from plantaincart_core.choice import ChoiceSettings
 from plantaincart_core.keybalance import KeyBalanceSettings
+from plantaincart_core.room import RoomSettings
 from plantaincart_core.upstreamload import LoadSettings
 from plantaincart_router.direct.settings import (
     AdmissionSettings,
@@ -50,6 +51,7 @@
     AdmissionSettings,
     CoordinationSettings,
     LoadSettings,
+    RoomSettings,
     KeyBalanceSettings,
 )
 DOCUMENTS = (
