--- a/packages/core/plantaincart_core/roomledger.py
+++ b/packages/core/plantaincart_core/roomledger.py
@@ -68,6 +68,8 @@
         Units that it wants, by service without keys.
     waiting : mapping of str to int
         Requests that wait there for a unit, by owner of their keys.
+    avoided : frozenset of str
+        Upstreams to which it can't send at the moment.
     data_centre : str
         Its data centre.
     """
@@ -78,6 +80,7 @@
     in_use: Mapping[str, int] = field(default_factory=dict)
     wants: Mapping[str, int] = field(default_factory=dict)
     waiting: Mapping[str, int] = field(default_factory=dict)
+    avoided: frozenset[str] = frozenset()
     data_centre: str = ""
 
 
@@ -316,6 +319,8 @@
     def _cut_excess(self, lease: _Lease, units: dict[str, int], name: str) -> None:
         """Take back units where there are too many, since others sent without any."""
         room = self._rooms.get(name)
+        if name in lease.report.avoided and room is not None and not room.keyed:
+            room = None
         excess = self._planned[name] - (0 if room is None else room.units)
         if room is None or excess >= units[name]:
             del units[name]
@@ -330,25 +335,32 @@
     def _count_free(self, name: str) -> int:
         return self._rooms[name].units - self._taken[name]
 
-    def _choose_target(self, lease: _Lease, service: str) -> int:
+    def _choose_target(self, lease: _Lease, service: str, present: int) -> int:
         report = lease.report
         available = self._totals[service] * (1.0 - self._settings.spare_share)
         wanted = report.wants.get(service, 0)
         total = self._wants[service]
+        waiting = self._count_at(report.waiting, service)
+        needed = waiting + self._count_at(report.in_use, service)
+        if waiting:
+            # Units that are there don't serve those who wait.
+            needed = max(needed, present + waiting)
         if total < available:
-            return wanted + int((available - total) / max(1, len(self._members)))
+            rest = int((available - total) / max(1, len(self._members)))
+            return max(needed, wanted + rest)
         # What is wanted in case of need is scaled down, but not what is needed now.
-        needed = sum(
-            count
-            for counts in (report.in_use, report.waiting)
-            for name, count in counts.items()
-            if (room := self._rooms.get(name)) is not None and room.service == service
-        )
         if self._is_short.get(service, False):
             return needed
         scaled = max(1, int(wanted * available / total)) if wanted else 0
         return max(needed, scaled)
 
+    def _count_at(self, counts: Mapping[str, int], service: str) -> int:
+        return sum(
+            count
+            for name, count in counts.items()
+            if (room := self._rooms.get(name)) is not None and room.service == service
+        )
+
     def _look_for_shortage(self, now: float) -> None:
         """Find the services of which hardly any units are left."""
         if now - self._looked_at < LOOK_S:
@@ -372,7 +384,7 @@
         may_add: bool,
     ) -> None:
         """Change the units of a member at a service without keys towards its target."""
-        target = self._choose_target(lease, service)
+        target = self._choose_target(lease, service, present)
         own = [
             name
             for name in units
@@ -406,7 +418,11 @@
         for data_centre in (lease.report.data_centre, ""):
             listed = self._free_lists.get((service, data_centre), [])
             names.update(self._random.sample(listed, min(SAMPLE, len(listed))))
-        free = [name for name in sorted(names) if self._may_add(lease, units, name)]
+        free = [
+            name
+            for name in sorted(names - lease.report.avoided)
+            if self._may_add(lease, units, name)
+        ]
         return min(
             free, key=lambda name: self._rate(lease, units, name, 1), default=None
         )
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -72,6 +72,7 @@
     for counts in (report.room_wants, report.room_waiting, report.room_full):
         _check_counts(counts, "room")
     _check_counts(report.room_queues, "room_queues")
+    _check_range(map(len, report.room_avoided), MAX_NAME_LENGTH, "room_avoided")
     _check(
         not report.relay_address or _is_address(report.relay_address), "relay_address"
     )
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -59,6 +59,7 @@
             "room": self._room.list_held(now),
             "room_wants": share.list_wants(now),
             "room_waiting": share.list_waiting(),
+            "room_avoided": self._room.list_avoided(now),
             "room_full": self._room.pop_full(),
             "room_queues": self._room.pop_queues(),
         }
@@ -214,5 +215,6 @@
         in_use=report.in_flight,
         wants=report.room_wants,
         waiting=report.room_waiting,
+        avoided=frozenset(report.room_avoided),
         data_centre=report.data_centre,
     )
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -27,6 +27,8 @@
 GRANT_WAIT_S = 0.1
 # Seconds for which the upstreams of a service are listed once.
 LIST_S = 0.5
+# Upstreams that a report names as avoided, at most.
+MAX_AVOIDED = 256
 
 
 class SharedRoom(RoomGate):
@@ -54,6 +56,8 @@
         Units of this instance.
     ask : callable
         Reports to the coordinator soon.
+    is_avoided : callable
+        Returns whether this instance can't send to an upstream at the moment.
 
     Notes
     -----
@@ -81,6 +85,7 @@
         self._queues: dict[str, float] = {}
         self._fallback: dict[str, tuple[float, list[str]]] = {}
         self._timer: TimerHandle | None = None
+        self.is_avoided: Callable[[UpstreamRecord, float], bool] = _avoid_none
 
     def try_acquire(self, record: UpstreamRecord, now: float) -> bool:
         """Take a unit of room at an upstream, if there is one."""
@@ -153,6 +158,15 @@
         )
         return self.share.list_held(now)
 
+    def list_avoided(self, now: float) -> list[str]:
+        """List the upstreams at which units are of no use at the moment."""
+        avoided = [
+            record.id
+            for record in self._directory
+            if self.share.is_divided(record.service) and self.is_avoided(record, now)
+        ]
+        return avoided[:MAX_AVOIDED]
+
     def pop_full(self) -> dict[str, int]:
         """Return the requests turned away since the last call, by service."""
         full, self._full = self._full, Counter()
@@ -210,3 +224,7 @@
 
 def _ignore() -> None:
     pass
+
+
+def _avoid_none(record: UpstreamRecord, now: float) -> bool:
+    return False
