--- a/packages/router/plantaincart_router/direct/entryqueue.py
+++ b/packages/router/plantaincart_router/direct/entryqueue.py
@@ -181,6 +181,9 @@
             if not open_processes:
                 return
             entry = self._entries[waiting]
+            if entry.future.done():
+                # Its task has been cancelled, and hasn't run since.
+                continue
             if waiting.latest_at < now or entry.call.caller.disconnected.is_set():
                 _set(entry.future, None)
                 self._discard(waiting)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -34,7 +34,7 @@
     RelayTransport,
     ReroutingTransport,
 )
-from plantaincart_router.direct.roomgate import OpenRoomGate, RoomGate
+from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
@@ -127,7 +127,7 @@
         self._policies: tuple[EntryPolicy, ...] = (
             RankAdmission(view.rank_fact, self._costs, self._rejections, metrics),
         )
-        self._gate: RoomGate = OpenRoomGate()
+        self._gate: RoomGate = view.room
         self._selector = UpstreamSelector(
             settings,
             view,
@@ -147,6 +147,7 @@
             view,
             sender,
             self._selector,
+            self._gate,
             self._costs,
             metrics,
             self._may_retry,
@@ -297,9 +298,10 @@
         try:
             # The request may have waited, or ended an upstream.
             self._check_quarantine(call)
-            return await self._sender.send(call, record)
-        finally:
+        except RefusedError:
             self._gate.release(record)
+            raise
+        return await self.silence.send(call, record)
 
     def _admit(self, call: Call) -> None:
         now = monotonic()
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -21,6 +21,10 @@
 
 __all__ = ["UpstreamSender"]
 
+# Requests for each slot from which on an upstream that resets a connection or doesn't
+# answer is taken to be full.
+FULL_FACTOR = 2.0
+
 
 class UpstreamSender:
     """
@@ -103,6 +107,8 @@
         try:
             answer = await self._exchange(call, record, progress)
         except LostError as error:
+            if in_progress >= FULL_FACTOR * record.slots:
+                self._record_full(call, record)
             if error.timed_out:
                 waited_s = monotonic() - sent_at
                 expected_s = expected.wait_s + expected.work_s
@@ -115,6 +121,8 @@
         now = monotonic()
         if metadata.request_count is not None:
             loads.record_in_flight(record.id, metadata.request_count, record.slots, now)
+        if metadata.load is not None:
+            self._view.room.record_load(record, metadata.load.waiting)
         if metadata.not_run:
             raise self._evaluate_not_run(call, record, metadata, answer)
         self._metrics.count("attempts", call.service.name, "answered")
@@ -149,12 +157,19 @@
         at_capacity = (
             metadata.request_count is None or metadata.request_count >= record.slots
         )
+        requests = metadata.request_count or 0
+        if requests >= FULL_FACTOR * record.slots and not metadata.misdirected:
+            self._record_full(call, record)
         if not at_capacity and not metadata.misdirected:
             self._view.loads.record_shed(record.id)
         return NotRunError(
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
 
+    def _record_full(self, call: Call, record: UpstreamRecord) -> None:
+        self._metrics.count("attempts_at_full", call.service.name)
+        self._view.room.record_full(record)
+
     async def _exchange(
         self, call: Call, record: UpstreamRecord, progress: AttemptProgress | None
     ) -> HttpAnswer:
--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -1,6 +1,5 @@
 """Attempts at upstreams that may never answer, and their repeats."""
 
-from abc import ABC, abstractmethod
 from asyncio import FIRST_COMPLETED, Task, create_task, get_running_loop, wait
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 from plantaincart_router.direct.call import Call, LostError, NotRunError
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.metrics import RouterMetrics
+from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.transport import AttemptProgress
@@ -21,7 +21,7 @@
 from plantaincart_router.http.message import HttpAnswer
 from plantaincart_router.log import write_event
 
-__all__ = ["SilenceGuard", "SilenceListener"]
+__all__ = ["SilenceGuard"]
 
 # Seconds between looks at whether the queue of a silent owner has drained, as a
 # multiple of the time that one request takes there.
@@ -29,24 +29,6 @@
 LEAST_DRAIN_POLL_S = 0.02
 
 
-class SilenceListener(ABC):
-    """Learns how many requests an upstream had when it fell silent."""
-
-    @abstractmethod
-    def record_silent(self, record: UpstreamRecord, in_flight: float) -> None:
-        """
-        Record that an upstream didn't take a request.
-
-        Parameters
-        ----------
-        record : UpstreamRecord
-            Process of the upstream.
-        in_flight : float
-            Estimated requests of all instances there when the request was sent,
-            without it: its room at that moment was at most this.
-        """
-
-
 @dataclass(slots=True)
 class _Attempt:
     call: Call
@@ -56,6 +38,7 @@
     in_flight: float
     started_at: float
     is_silent: bool = False
+    holds_room: bool = True
     progress: AttemptProgress = field(default_factory=AttemptProgress)
 
     def measure(self, now: float) -> Wait | None:
@@ -87,6 +70,8 @@
         Sends one attempt.
     selector : UpstreamSelector
         Finds the upstream for a repeat.
+    gate : RoomGate
+        Is given back the room of each attempt.
     costs : CostEstimator
         Expected wait and duration.
     metrics : RouterMetrics
@@ -110,6 +95,7 @@
         view: SystemView,
         sender: UpstreamSender,
         selector: UpstreamSelector,
+        gate: RoomGate,
         costs: CostEstimator,
         metrics: RouterMetrics,
         may_repeat: Callable[[Call], bool],
@@ -117,11 +103,11 @@
         self._view = view
         self._sender = sender
         self._selector = selector
+        self._gate = gate
         self._costs = costs
         self._metrics = metrics
         self._may_repeat = may_repeat
         self._background: set[Task[HttpAnswer]] = set()
-        self.listener: SilenceListener | None = None
 
     def close(self) -> None:
         """End the attempts that go on in the background."""
@@ -156,13 +142,17 @@
             call.route.name, attempt.expected_s, attempt.started_at
         )
         if limit_s >= call.remaining_s:
-            return await self._send_once(attempt)
+            try:
+                return await self._send_once(attempt)
+            finally:
+                self._release(attempt)
         if not call.route.idempotent:
             timer = get_running_loop().call_later(limit_s, self._judge, attempt)
             try:
                 return await self._send_once(attempt)
             finally:
                 timer.cancel()
+                self._release(attempt)
         return await self._send_watched(attempt, limit_s)
 
     async def _send_watched(self, attempt: _Attempt, limit_s: float) -> HttpAnswer:
@@ -210,6 +200,7 @@
             call.silent_attempts -= 1
         if first.done():
             self._view.quotas.give_back(target)
+            self._gate.release(target)
             return None
         self._metrics.count("silent", call.service.name, "repeated")
         write_event(
@@ -263,8 +254,16 @@
     def _start(self, attempt: _Attempt) -> Task[HttpAnswer]:
         task = create_task(self._send_once(attempt))
         task.add_done_callback(_retrieve_exception)
+        # The task may be cancelled before it begins.
+        task.add_done_callback(lambda _: self._release(attempt))
         return task
 
+    def _release(self, attempt: _Attempt) -> None:
+        """Give back the room of an attempt, once."""
+        if attempt.holds_room:
+            attempt.holds_room = False
+            self._gate.release(attempt.record)
+
     async def _send_once(self, attempt: _Attempt) -> HttpAnswer:
         """Send one attempt, and learn from its end."""
         call, record = attempt.call, attempt.record
@@ -289,15 +288,12 @@
         return answer
 
     def _record_unanswered(self, attempt: _Attempt) -> None:
-        call, record = attempt.call, attempt.record
+        call = attempt.call
         waited = attempt.measure(monotonic())
         if waited is None or attempt.progress.started_at is not None:
             return
-        if not self._find_silence(call).record_unanswered(waited):
-            return
-        self._metrics.count("silent", call.service.name, "unanswered")
-        if self.listener is not None:
-            self.listener.record_silent(record, attempt.in_flight)
+        if self._find_silence(call).record_unanswered(waited):
+            self._metrics.count("silent", call.service.name, "unanswered")
 
     def _judge(self, attempt: _Attempt) -> bool:
         """Take an attempt for silent unless its answer has begun to arrive."""
@@ -307,6 +303,7 @@
         call, record = attempt.call, attempt.record
         # The upstream doesn't hold the request.
         attempt.load.in_flight -= 1
+        self._release(attempt)
         self._metrics.count("silent", call.service.name, "judged")
         write_event(
             "attempt_silent",
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -8,7 +8,7 @@
 from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
 from plantaincart_core.ownermap import KeyRange, OwnerMap
 from plantaincart_core.silence import SilenceSettings
-from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
+from plantaincart_core.traffic import RouteIndex, RoutingConfiguration, ServicePolicy
 from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
@@ -30,8 +30,10 @@
 from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.rankfact import RankFact
 from plantaincart_router.direct.relayfact import RelayFact
+from plantaincart_router.direct.roomfact import RoomFact
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
+from plantaincart_router.direct.sharedroom import SharedRoom
 from plantaincart_router.direct.silencefact import SilenceFact
 from plantaincart_router.direct.store import TableRows
 from plantaincart_router.direct.unowned import UnownedRanges
@@ -77,6 +79,8 @@
         Requests under which upstreams have ended.
     quotas : UpstreamQuotas
         Limits that upstreams have named.
+    room : SharedRoom
+        Room that this instance may use at upstreams.
     relay_fact : RelayFact
         Relays, and whether this instance needs them.
     silence_fact : SilenceFact
@@ -125,6 +129,12 @@
         self.silence_fact = SilenceFact(SilenceSettings())
         self.account_fact = AccountFact(settings)
         self.rank_fact = RankFact(self.loads, self.directory)
+        self.room = SharedRoom(
+            settings.room, self.directory, self.loads, self.find_policy
+        )
+        # Waiting for a permit and for room are reported in the same way.
+        self.room.ask = lambda: self.quotas.on_wait()
+        self.room.is_avoided = self._is_avoided
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             self.silence_fact,
@@ -133,6 +143,7 @@
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
             self.account_fact,
+            RoomFact(self.room, self.directory, self.find_policy),
         )
         self._changed = Event()
 
@@ -256,6 +267,11 @@
         """Return the divisions of limits that may be in force at some instance."""
         return self._divisions.list_recent(now)
 
+    def find_policy(self, service: str) -> ServicePolicy | None:
+        """Return the settings of a service, or None if it isn't described."""
+        config = self.routing_config
+        return None if config is None else config.services.get(service)
+
     def find_owner(self, service: str, key: int) -> KeyRange | None:
         """Return the range of a key, or None before a map was received."""
         owners = self.owners.get(service)
@@ -341,6 +357,12 @@
         refused_keys, self._refused_keys = self._refused_keys, []
         return refused_keys
 
+    def _is_avoided(self, record: UpstreamRecord, now: float) -> bool:
+        """Whether an upstream wants a pause, or connecting to it has just failed."""
+        if self.backoffs.remaining_s(record, now) > 0.0:
+            return True
+        return self._pools.connect_failures.retry_delay_s(record, now) > 0.0
+
     def _replace_upstreams(
         self, view: TableRows, known_until: float, is_restored: bool
     ) -> list[str]:
