Learn the speed of upstreams and their pace after a start by all instances together

Cause: slowness mixed an upstream's lasting speed with the noise of its neighbours, so that keys moved by noise, and the stated slowdown was dropped; an upstream that starts or fails got whatever each instance chose for itself.

Lasting factors and stated slowdowns are facts of their own (speedfact.py, core/upstreamspeed.py); estimates use both, keys move by the lasting one. They act only where an upstream has stated a slowdown. Time beyond the target counts more in the choice among data centres.

--- a/packages/core/plantaincart_core/loadcodec.py
+++ b/packages/core/plantaincart_core/loadcodec.py
@@ -1,6 +1,7 @@
 """Compact encoding of the requests at each upstream, sent often to all instances."""
 
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 from struct import iter_unpack, pack
 from zlib import crc32
 
@@ -10,6 +11,8 @@
 ENTRY_FORMAT = ">I"
 MAX_COUNT = 255
 COUNT_BITS = 8
+# Names whose checksum is kept; there are some hundred upstreams.
+MAX_CACHED_NAMES = 4096
 
 
 def pack_loads(counts: Mapping[str, int]) -> bytes:
@@ -68,5 +71,6 @@
     return {name: counts.get(_checksum(name), 0) for name in upstreams}
 
 
+@lru_cache(maxsize=MAX_CACHED_NAMES)
 def _checksum(name: str) -> int:
     return crc32(name.encode()) >> COUNT_BITS << COUNT_BITS
--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -270,7 +270,12 @@
         self._slowness_samples.setdefault(upstream, []).append(slowness)
 
     def estimate_wait_s(
-        self, upstream: str, slots: int, mean_s: float, now: float
+        self,
+        upstream: str,
+        slots: int,
+        mean_s: float,
+        now: float,
+        factor: float | None = None,
     ) -> float:
         """
         Estimate how long a further request waits for a free slot.
@@ -285,6 +290,9 @@
             Usual response time of the service in seconds.
         now : float
             Present time in seconds.
+        factor : float or None
+            Response time at the upstream relative to the usual one; None for its
+            slowness.
 
         Returns
         -------
@@ -297,4 +305,5 @@
             in_flight >= slots, now, self.settings.max_observation_gap_s
         )
         requests_ahead = max(0.0, in_flight + 1.0 - slots)
-        return requests_ahead * mean_s * load.slowness / max(1, slots)
+        factor = load.slowness if factor is None else factor
+        return requests_ahead * mean_s * factor / max(1, slots)
--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -6,6 +6,7 @@
 from plantaincart_core.directory import UpstreamRecord
 
 from plantaincart_router.direct.call import Call
+from plantaincart_router.direct.interface import LoadStatement
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
 
@@ -14,6 +15,10 @@
 # Estimated duration of a request before any request of its service was measured, as a
 # fraction of the route's target.
 DEFAULT_WORK_SHARE = 0.35
+# Weight of the time by which a request would be late, in addition to the time itself.
+LATE_WEIGHT = 3.0
+# Least expected duration in seconds that a wait is compared with.
+MIN_EXPECTED_S = 1e-3
 
 
 class CostEstimator:
@@ -39,16 +44,30 @@
         work_s = self.estimate_work(call)
         mean_s = self._mean_work_s.get(call.service.name, work_s)
         now = monotonic()
-        wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, now)
+        factor = self._view.speeds.find_factor(record.id, now)
+        if factor is None:
+            factor = loads.get(record.id).slowness
+        wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, now, factor)
         # A request that waits for a permit doesn't occupy the upstream meanwhile.
         wait_s = max(wait_s, self._view.quotas.estimate_wait_s(record, now))
         return LatencyEstimate(
             wait_s=wait_s,
-            work_s=work_s * loads.get(record.id).slowness,
+            work_s=work_s * factor,
             remaining_s=call.remaining_s,
             target_s=call.route.target_s,
         )
 
+    def estimate_cost_s(self, call: Call, record: UpstreamRecord) -> float:
+        """
+        Return the cost of a request at an upstream, in seconds.
+
+        The time beyond the route's target counts several times, so that a nearer
+        upstream isn't chosen when one that is farther away would answer in time.
+        """
+        expected = self.estimate(call, record)
+        latency_s = expected.wait_s + expected.work_s
+        return latency_s + LATE_WEIGHT * max(0.0, latency_s - expected.target_s)
+
     def estimate_work(self, call: Call) -> float:
         """Return the expected duration of a request in seconds, without queueing."""
         return self._view.loads.estimate_work_s(
@@ -60,8 +79,72 @@
         default_s = call.route.target_s * DEFAULT_WORK_SHARE
         return self._mean_work_s.get(call.service.name, default_s)
 
-    def record_answer(self, call: Call) -> None:
-        """Add an answered request to the mean duration of its service."""
+    def record_overdue(
+        self, record: UpstreamRecord, waited_s: float, expected: LatencyEstimate
+    ) -> None:
+        """
+        Learn from a request that wasn't answered in time.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            Upstream to which it was sent.
+        waited_s : float
+            Seconds for which its answer was waited for.
+        expected : LatencyEstimate
+            Expected times when it was sent.
+        """
+        expected_s = expected.wait_s + expected.work_s
+        self._view.loads.record_overdue(record.id, waited_s, expected_s)
+        factor = waited_s / max(expected_s, MIN_EXPECTED_S)
+        lasting = self._view.speeds.find_lasting(record.id)
+        if factor > 1.0 and lasting is not None:
+            self._view.speeds.record_failure(record.id, lasting * factor)
+
+    def record_shed(self, record: UpstreamRecord) -> None:
+        """Learn from a request that was rejected although a slot was free."""
+        self._view.loads.record_shed(record.id)
+        self._view.speeds.record_failure(record.id, self._settings.load.shed_slowness)
+
+    def record_answer(
+        self,
+        call: Call,
+        record: UpstreamRecord,
+        seconds: float,
+        load: LoadStatement | None,
+        queued: bool,
+    ) -> None:
+        """
+        Learn from the response time of an answered request.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        record : UpstreamRecord
+            Upstream that ran it.
+        seconds : float
+            Seconds from sending the request to the end of the answer.
+        load : LoadStatement or None
+            What the answer states about the upstream's load.
+        queued : bool
+            Whether the request probably waited for a slot.
+        """
+        slowdown = 1.0 if load is None else load.slowdown
+        speeds, now = self._view.speeds, monotonic()
+        has_waited = queued or (load is not None and load.waiting > 0)
+        if has_waited:
+            speeds.record_statement(record.id, slowdown, now)
+        else:
+            usual_s = self.estimate_work(call)
+            speeds.record_answer(record.id, seconds, usual_s, slowdown, now)
+        self._view.loads.record_work(
+            call.route.name,
+            record.id,
+            seconds / slowdown,
+            queued,
+            self.default_work_s(call),
+        )
         work_s = self.estimate_work(call)
         mean_s = self._mean_work_s.get(call.service.name, work_s)
         mean_s += self._settings.load.smoothing * 0.25 * (work_s - mean_s)
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -16,6 +16,7 @@
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
 from plantaincart_router.direct.metrics import RouterMetrics
+from plantaincart_router.direct.pacesource import PaceFilter, PaceSource
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.rejection import RejectionFactory
@@ -102,7 +103,7 @@
         self._candidates = CandidateFinder(
             settings,
             view,
-            [ColdFilter(view, cold_limiter)],
+            [ColdFilter(view, cold_limiter), PaceFilter(view, PaceSource(view))],
             self._transport,
             self._costs,
             self._rejections,
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -186,6 +186,18 @@
                 "Live instances as last heard",
                 float(view.members),
             ),
+            "paced_upstreams": (
+                "Upstreams whose requests are limited after a start or failures",
+                float(len(view.paces)),
+            ),
+            "known_speeds": (
+                "Upstreams whose lasting speed is known",
+                float(len(view.speeds.list_lasting())),
+            ),
+            "mean_slowdown": (
+                "Mean of the slowdowns that upstreams state",
+                view.speeds.mean_slowdown,
+            ),
             "coordinator": ("1 on the coordinator", float(coordinator is not None)),
             "cut_off": (
                 "1 while no upstream can be connected to",
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -22,6 +22,7 @@
 MAX_WORK_MS = 10**7
 MAX_DURATION_S = 3600.0
 MAX_SLOWNESS = 1e4
+MAX_OCTAVES = 32.0
 MAX_NAME_LENGTH = 255
 # Some 8,900 years after 1970.
 MAX_BORN_MS = 2**48
@@ -57,6 +58,15 @@
         _check_load(load)
     _check_range(report.in_flight.values(), MAX_COUNT, "in_flight")
     _check_range(report.slowness.values(), MAX_SLOWNESS, "slowness")
+    _check_range(map(abs, report.work_ratios.values()), MAX_OCTAVES, "work_ratios")
+    _check_range(report.slowdowns.values(), MAX_SLOWNESS, "slowdowns")
+    _check(
+        all(
+            len(counts) == 2 and min(counts) >= 0 and max(counts) <= MAX_COUNT
+            for counts in report.outcomes.values()
+        ),
+        "outcomes",
+    )
     _check_range([key.key for key in report.refusing], KEY_COUNT - 1, "refused key")
     _check(all(version >= 0 for version in report.tables.values()), "tables")
     _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -102,7 +102,11 @@
                 directory.accepts_requests(record) and record.id not in backed_off
             )
             is_failing = self._granter.is_failing(record.id, record.born)
-            slowness = max(MIN_SLOWNESS, self._view.loads.get(record.id).slowness)
+            # Keys don't follow the slowdown of a moment, since a move costs callers.
+            slowness = self._view.speeds.find_lasting(record.id)
+            if slowness is None:
+                slowness = self._view.loads.get(record.id).slowness
+            slowness = max(MIN_SLOWNESS, slowness)
             is_cold = directory.remaining_warm_up_s(record.id, now) > 0.0
             capacity = record.slots / slowness
             limits, process = self._view.quotas.limits, (record.id, record.born)
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -108,7 +108,7 @@
         record = await self._candidates.find_owner(call)
         if not self._candidates.is_allowed(call, record, monotonic()):
             raise self._rejections.refuse_unserved(
-                call, Reason.RATE_LIMITED, f"upstream {record.id} is cold", 0.5
+                call, Reason.RATE_LIMITED, f"upstream {record.id} is cold or fails", 0.5
             )
         self._admission.admit(call, record)
         return record
@@ -130,8 +130,7 @@
         ]
 
         def estimate_cost(name: str) -> float:
-            expected = self._costs.estimate(call, eligible[name])
-            return expected.wait_s + expected.work_s
+            return self._costs.estimate_cost_s(call, eligible[name])
 
         settings = self._settings.choice
         chosen = choose_cheapest(
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -10,6 +10,7 @@
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
+from plantaincart_router.direct.pacesource import is_good_answer
 from plantaincart_router.direct.transport import (
     Attempt,
     AttemptTransport,
@@ -95,10 +96,9 @@
         try:
             answer = await self._exchange(call, record)
         except LostError as error:
+            self._view.paces.record(record.id, is_good=False)
             if error.timed_out:
-                waited_s = monotonic() - sent_at
-                expected_s = expected.wait_s + expected.work_s
-                loads.record_overdue(record.id, waited_s, expected_s)
+                self._costs.record_overdue(record, monotonic() - sent_at, expected)
             raise
         finally:
             load.in_flight -= 1
@@ -112,14 +112,9 @@
         self._metrics.count("attempts", call.service.name, "answered")
         self._metrics.observe("upstream_seconds", now - sent_at, call.service.name)
         queued = in_progress >= record.slots
-        loads.record_work(
-            call.route.name,
-            record.id,
-            now - sent_at,
-            queued,
-            self._costs.default_work_s(call),
-        )
-        self._costs.record_answer(call)
+        is_good = is_good_answer(answer.status, now - sent_at, expected)
+        self._view.paces.record(record.id, is_good)
+        self._costs.record_answer(call, record, now - sent_at, metadata.load, queued)
         return self._header_codec.write_answer(answer)
 
     def _evaluate_not_run(
@@ -141,8 +136,10 @@
         at_capacity = (
             metadata.request_count is None or metadata.request_count >= record.slots
         )
-        if not at_capacity and not metadata.misdirected:
-            self._view.loads.record_shed(record.id)
+        if not metadata.misdirected:
+            self._view.paces.record(record.id, is_good=False)
+            if not at_capacity:
+                self._costs.record_shed(record)
         return NotRunError(
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -6,8 +6,10 @@
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
 from plantaincart_core.ownermap import KeyRange, OwnerMap
+from plantaincart_core.pace import PaceSettings, PaceTable
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
 from plantaincart_core.upstreamload import UpstreamLoads
+from plantaincart_core.upstreamspeed import UpstreamSpeeds
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
     KeyLoad,
@@ -22,12 +24,14 @@
 from plantaincart_router.direct.interface import PlatformReader
 from plantaincart_router.direct.limitfact import LimitFact
 from plantaincart_router.direct.loadfact import LoadFact
+from plantaincart_router.direct.pacefact import PaceFact
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
 from plantaincart_router.direct.relayfact import RelayFact
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
+from plantaincart_router.direct.speedfact import SpeedFact
 from plantaincart_router.direct.store import TableRows
 from plantaincart_router.direct.unowned import UnownedRanges
 from plantaincart_router.log import write_event
@@ -70,6 +74,10 @@
         Whether this instance can connect to any upstream.
     crashes : CrashLedger
         Requests under which upstreams have ended.
+    speeds : UpstreamSpeeds
+        Lasting speed of upstreams, and the slowdown of the moment.
+    paces : PaceTable
+        Limits of upstreams that have just started or fail.
     quotas : UpstreamQuotas
         Limits that upstreams have named.
     relay_fact : RelayFact
@@ -107,6 +115,9 @@
         self._members_counted_at = 0.0
         self._divisions = DivisionHistory(settings.coordination.member_s)
         self.loads = UpstreamLoads(settings.load)
+        self.speeds = UpstreamSpeeds()
+        pace_settings = PaceSettings()
+        self.paces = PaceTable(pace_settings)
         self.backoffs = UpstreamBackoffs()
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
@@ -116,6 +127,8 @@
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
+            SpeedFact(self.speeds, self.directory),
+            PaceFact(self.paces, pace_settings, self.directory, self.loads),
         )
         self._changed = Event()
 
@@ -389,7 +402,12 @@
             self._seen_active.discard(record.id)
 
     def _log_upstream(self, old: UpstreamRecord | None, new: UpstreamRecord) -> None:
-        if old is None or (old.born, old.ready) != (new.born, new.ready):
+        is_cold = new.warmup_left_s > 0.0
+        if old is None or (old.born, old.ready, old.warmup_left_s > 0.0) != (
+            new.born,
+            new.ready,
+            is_cold,
+        ):
             write_event(
                 "upstream_changed",
                 upstream=new.id,
