--- a/packages/core/plantaincart_core/tests/test_upstreamspeed.py
+++ b/packages/core/plantaincart_core/tests/test_upstreamspeed.py
@@ -51,7 +51,7 @@
                 slowdown = machines.find_slowdown(upstream, now)
                 answered_s = machines.draw_work_s() * factor * slowdown
                 speeds = random.choice(fleet)
-                speeds.record_answer(upstream, answered_s, USUAL_S, slowdown, now)
+                speeds.record_answer(upstream, answered_s, USUAL_S, slowdown)
         for speeds in fleet:
             tracker.record(speeds.drain_ratios())
         told.append(tracker.compare(SERVICES))
@@ -135,10 +135,19 @@
 def test_stated_slowdown_fades_within_a_second():
     speeds = UpstreamSpeeds()
     speeds.set_lasting({"u1": 1.0, "u2": 1.0})
-    speeds.record_statement("u1", 3.0, now=0.0)
-    assert speeds.find_factor("u1", now=0.0) == pytest.approx(3.0)
-    assert 1.3 < speeds.find_factor("u1", now=0.4) < 1.7
-    assert speeds.find_factor("u1", now=1.5) < 1.05
+    speeds.record_statement("u1", "desk", 3.0, now=0.0)
+    assert speeds.find_factor("u1", "desk", now=0.0) == pytest.approx(3.0)
+    assert 1.3 < speeds.find_factor("u1", "desk", now=0.4) < 1.7
+    assert speeds.find_factor("u1", "desk", now=1.5) < 1.05
+
+
+def test_noise_of_one_service_is_not_expected_of_another():
+    speeds = UpstreamSpeeds()
+    speeds.set_lasting({"u1": 1.0, "u2": 1.0})
+    for number in range(500):
+        speeds.record_statement("u1", "noisy", 1.0 + 2.0 * (number % 5 == 0), 0.0)
+    assert 1.2 < speeds.find_factor("u1", "noisy", now=9.0) < 1.6
+    assert speeds.find_factor("u2", "quiet", now=9.0) == 1.0
 
 
 def test_new_coordinator_goes_on_with_the_speeds_told_before():
@@ -152,8 +161,8 @@
 def test_state_is_bounded():
     """A flood of answers between two reports, and upstreams that are gone."""
     speeds = UpstreamSpeeds()
-    for number in range(10000):
-        speeds.record_answer("u1", 0.1, 0.1, 1.0, float(number))
+    for _ in range(10000):
+        speeds.record_answer("u1", 0.1, 0.1, 1.0)
     assert len(speeds._samples["u1"]) <= 32
     tracker = SpeedTracker({})
     for number in range(100):
--- a/packages/core/plantaincart_core/upstreamspeed.py
+++ b/packages/core/plantaincart_core/upstreamspeed.py
@@ -46,28 +46,27 @@
     ----------
     is_stated : bool
         Whether any upstream has stated a slowdown.
-    mean_slowdown : float
-        Mean of the stated slowdowns of all upstreams.
 
     Notes
     -----
     The time of an answer is the work, times the lasting factor of the process that ran
     it, times the slowdown of its machine at that moment, which the answer states. The
     lasting factor is learnt by all instances together. A stated slowdown says little
-    after a fraction of a second, and fades to the mean of all statements.
+    after a fraction of a second, and fades to the mean of its service.
 
     Examples
     --------
     >>> speeds = UpstreamSpeeds()
-    >>> speeds.record_answer("u1", seconds=0.3, usual_s=0.1, slowdown=3.0, now=0.0)
+    >>> speeds.record_answer("u1", seconds=0.3, usual_s=0.1, slowdown=3.0)
+    >>> speeds.record_statement("u1", "desk", slowdown=3.0, now=0.0)
     >>> abs(speeds.drain_ratios()["u1"])
     0.0
-    >>> speeds.find_factor("u1", now=0.0) is None
+    >>> speeds.find_factor("u1", "desk", now=0.0) is None
     True
     >>> speeds.set_lasting({"u1": 0.5})
-    >>> round(speeds.find_factor("u1", now=0.0), 2)
+    >>> round(speeds.find_factor("u1", "desk", now=0.0), 2)
     1.5
-    >>> round(speeds.find_factor("u1", now=2.0), 2)
+    >>> round(speeds.find_factor("u1", "desk", now=2.0), 2)
     0.51
     """
 
@@ -77,10 +76,10 @@
         self._new_slowdowns: dict[str, float] = {}
         self._samples: dict[str, list[float]] = {}
         self.is_stated = False
-        self.mean_slowdown = 1.0
+        self._mean_slowdowns: dict[str, float] = {}
 
     def record_answer(
-        self, upstream: str, seconds: float, usual_s: float, slowdown: float, now: float
+        self, upstream: str, seconds: float, usual_s: float, slowdown: float
     ) -> None:
         """
         Record the time of an answered request that didn't queue.
@@ -95,10 +94,7 @@
             Usual response time of the request's route in seconds.
         slowdown : float
             Slowdown of the moment that the answer states.
-        now : float
-            Present time in seconds.
         """
-        self.record_statement(upstream, slowdown, now)
         samples = self._samples.setdefault(upstream, [])
         if len(samples) < MAX_SAMPLES:
             ratio = seconds / max(usual_s * slowdown, 1e-4)
@@ -110,12 +106,16 @@
         if len(samples) < MAX_SAMPLES:
             samples.append(log2(max(factor, 1e-3)))
 
-    def record_statement(self, upstream: str, slowdown: float, now: float) -> None:
+    def record_statement(
+        self, upstream: str, service: str, slowdown: float, now: float
+    ) -> None:
         """Record the slowdown of the moment that an answer states."""
         self.is_stated = self.is_stated or slowdown != 1.0
         self._new_slowdowns[upstream] = slowdown
         self._statements[upstream] = _Statement(slowdown, now)
-        self.mean_slowdown += MEAN_WEIGHT * (slowdown - self.mean_slowdown)
+        mean = self.find_mean_slowdown(service)
+        mean += MEAN_WEIGHT * (slowdown - mean)
+        self._mean_slowdowns[service] = mean
 
     def drain_ratios(self) -> dict[str, float]:
         """Return the mean logarithm of the measured factors since the last call."""
@@ -139,32 +139,37 @@
         return self._lasting
 
     def set_slowdowns(self, slowdowns: Mapping[str, float], now: float) -> None:
-        """Adopt the slowdowns that others were told, unless one was stated since."""
+        """Adopt the slowdowns that others were told, unless one was stated lately."""
         for upstream, slowdown in slowdowns.items():
-            if abs(slowdown - 1.0) > abs(self.find_slowdown(upstream, now) - 1.0):
+            statement = self._statements.get(upstream)
+            if statement is None or now - statement.at > STATEMENT_HALF_LIFE_S:
                 self._statements[upstream] = _Statement(slowdown, now)
 
     def find_lasting(self, upstream: str) -> float | None:
         """Return the lasting factor of an upstream; None if it isn't known."""
         return self._lasting.get(upstream)
 
-    def find_slowdown(self, upstream: str, now: float) -> float:
+    def find_mean_slowdown(self, service: str) -> float:
+        """Return the mean of the slowdowns that a service's upstreams have stated."""
+        return self._mean_slowdowns.get(service, 1.0)
+
+    def find_slowdown(self, upstream: str, service: str, now: float) -> float:
         """Return the slowdown that is expected of an upstream's machine now."""
-        mean = self.mean_slowdown
+        mean = self.find_mean_slowdown(service)
         statement = self._statements.get(upstream)
         if statement is None:
             return mean
         weight: float = 0.5 ** (max(0.0, now - statement.at) / STATEMENT_HALF_LIFE_S)
         return mean + weight * (statement.slowdown - mean)
 
-    def find_factor(self, upstream: str, now: float) -> float | None:
+    def find_factor(self, upstream: str, service: str, now: float) -> float | None:
         """
         Return the expected response time relative to the usual one.
 
         Parameters
         ----------
-        upstream : str
-            Identity of the upstream.
+        upstream, service : str
+            Identity of the upstream, and its service.
         now : float
             Present time in seconds.
 
@@ -175,7 +180,9 @@
             no lasting factor has been told.
         """
         lasting = self._lasting.get(upstream)
-        return None if lasting is None else lasting * self.find_slowdown(upstream, now)
+        if lasting is None:
+            return None
+        return lasting * self.find_slowdown(upstream, service, now)
 
     def remove(self, upstream: str) -> None:
         """Forget an upstream whose process has ended."""
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -194,10 +194,6 @@
                 "Upstreams whose lasting speed is known",
                 float(len(view.speeds.list_lasting())),
             ),
-            "mean_slowdown": (
-                "Mean of the slowdowns that upstreams state",
-                view.speeds.mean_slowdown,
-            ),
             "coordinator": ("1 on the coordinator", float(coordinator is not None)),
             "cut_off": (
                 "1 while no upstream can be connected to",
--- a/packages/router/plantaincart_router/direct/speedfact.py
+++ b/packages/router/plantaincart_router/direct/speedfact.py
@@ -95,8 +95,12 @@
         report = member.report
         self._tracker.record(report.work_ratios)
         for upstream, slowdown in report.slowdowns.items():
-            if self._directory.get(upstream) is not None:
-                self._merged.record_statement(upstream, slowdown, now - REPORTED_AGE_S)
+            record = self._directory.get(upstream)
+            if record is not None:
+                stated_at = now - REPORTED_AGE_S
+                self._merged.record_statement(
+                    upstream, record.service, slowdown, stated_at
+                )
         return False
 
     def retain(self, members: Iterable[str]) -> None:
@@ -116,17 +120,13 @@
 
     def _pack_slowdowns(self, now: float) -> bytes:
         if now - self._slowdowns_packed_at > SLOWDOWN_CACHE_S:
-            expected = {
-                record.id: self._merged.find_slowdown(record.id, now)
-                for record in self._directory
-            }
-            self._packed_slowdowns = pack_factors(
-                {
-                    upstream: slowdown
-                    for upstream, slowdown in expected.items()
-                    if slowdown > MIN_SHARED_SLOWDOWN * self._merged.mean_slowdown
-                }
-            )
+            slowdowns = {}
+            for record in self._directory:
+                expected = self._merged.find_slowdown(record.id, record.service, now)
+                usual = self._merged.find_mean_slowdown(record.service)
+                if expected > MIN_SHARED_SLOWDOWN * usual:
+                    slowdowns[record.id] = expected
+            self._packed_slowdowns = pack_factors(slowdowns)
             self._slowdowns_packed_at = now
         return self._packed_slowdowns
 
--- a/packages/router/plantaincart_router/direct/tests/test_pacefact.py
+++ b/packages/router/plantaincart_router/direct/tests/test_pacefact.py
@@ -147,7 +147,8 @@
             for instance in system.instances.values():
                 speeds = instance.view.speeds
                 for name, factor in (("u0", 0.6), ("u1", 1.0), ("u2", 1.0), ("u3", 2)):
-                    speeds.record_answer(name, 0.3 * factor, 0.1, 3.0, now)
+                    speeds.record_answer(name, 0.3 * factor, 0.1, 3.0)
+                    speeds.record_statement(name, "ledger", 3.0, now)
 
         def all_know():
             measure()
