--- a/packages/core/plantaincart_core/pace.py
+++ b/packages/core/plantaincart_core/pace.py
@@ -238,6 +238,10 @@
         }
         return {upstream: pace.limit for upstream, pace in self._paces.items()}
 
+    def list_names(self) -> set[str]:
+        """Return the upstreams that are paced, or of which answers are counted."""
+        return self._paces.keys() | self._recent.keys()
+
     def is_paced(self, upstream: str, born: int) -> bool:
         """Return whether a process has a limit."""
         pace = self._paces.get(upstream)
@@ -277,9 +281,18 @@
         return upstream in self._limits
 
     def record(self, upstream: str, is_good: bool) -> None:
-        """Count an answer, a refusal or a failure of an upstream."""
+        """Count an answer or a failure of an upstream."""
         self._outcomes.setdefault(upstream, [0, 0])[0 if is_good else 1] += 1
 
+    def record_full(self, upstream: str) -> None:
+        """
+        Count a request for which an upstream had no room.
+
+        It says nothing of the upstream's health, but of the pace if there is one.
+        """
+        if upstream in self._limits:
+            self.record(upstream, is_good=False)
+
     def drain_outcomes(self) -> dict[str, list[int]]:
         """Return the good and bad answers since the last call, by upstream."""
         outcomes, self._outcomes = self._outcomes, {}
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -108,7 +108,7 @@
         record = await self._candidates.find_owner(call)
         if not self._candidates.is_allowed(call, record, monotonic()):
             raise self._rejections.refuse_unserved(
-                call, Reason.RATE_LIMITED, f"upstream {record.id} is cold or fails", 0.5
+                call, Reason.RATE_LIMITED, f"upstream {record.id} is cold", 0.5
             )
         self._admission.admit(call, record)
         return record
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -96,9 +96,12 @@
         try:
             answer = await self._exchange(call, record)
         except LostError as error:
-            self._view.paces.record(record.id, is_good=False)
             if error.timed_out:
+                self._view.paces.record(record.id, is_good=False)
                 self._costs.record_overdue(record, monotonic() - sent_at, expected)
+            else:
+                # Upstreams may reset the connection when they are full.
+                self._view.paces.record_full(record.id)
             raise
         finally:
             load.in_flight -= 1
@@ -137,8 +140,10 @@
             metadata.request_count is None or metadata.request_count >= record.slots
         )
         if not metadata.misdirected:
-            self._view.paces.record(record.id, is_good=False)
-            if not at_capacity:
+            if at_capacity:
+                self._view.paces.record_full(record.id)
+            else:
+                self._view.paces.record(record.id, is_good=False)
                 self._costs.record_shed(record)
         return NotRunError(
             f"status {answer.status}", metadata.misdirected, True, at_capacity
