Charge late answers a constant in the choice among data centres

A constant that equals the largest penalty for other data centres within the target does what is needed.

--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -15,8 +15,6 @@
 # Estimated duration of a request before any request of its service was measured, as a
 # fraction of the route's target.
 DEFAULT_WORK_SHARE = 0.35
-# Weight of the time by which a request would be late, in addition to the time itself.
-LATE_WEIGHT = 1.0
 # Least expected duration in seconds that a wait is compared with.
 MIN_EXPECTED_S = 1e-3
 
@@ -61,12 +59,16 @@
         """
         Return the cost of a request at an upstream, in seconds.
 
-        The time beyond the route's target counts several times, so that a nearer
-        upstream isn't chosen when one that is farther away would answer in time.
+        A late answer costs more by what the penalty for other data centres can be in
+        time, so that a nearer upstream isn't chosen when one that is farther away would
+        answer within the target.
         """
         expected = self.estimate(call, record)
         latency_s = expected.wait_s + expected.work_s
-        return latency_s + LATE_WEIGHT * max(0.0, latency_s - expected.target_s)
+        if latency_s <= expected.target_s:
+            return latency_s
+        penalty = self._settings.choice.remote_cost_factor - 1.0
+        return latency_s + max(0.0, penalty) * expected.target_s
 
     def estimate_work(self, call: Call) -> float:
         """Return the expected duration of a request in seconds, without queueing."""
