--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -25,6 +25,7 @@
 from plantaincart_router.direct.entryqueue import EntryQueue
 from plantaincart_router.direct.interface import HeaderCodec, RequestMetadata
 from plantaincart_router.direct.metrics import RouterMetrics
+from plantaincart_router.direct.pacesource import PaceFilter, PaceSource
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.rankadmission import RankAdmission
@@ -115,10 +116,12 @@
         self._accounts = AccountGate(view, metrics)
         self._costs = CostEstimator(settings, view)
         self._rejections = RejectionFactory(settings, view, self._transport)
+        pace_source = PaceSource(view)
+        view.room.sources = (pace_source,)
         self._candidates = CandidateFinder(
             settings,
             view,
-            [ColdFilter(view, cold_limiter)],
+            [ColdFilter(view, cold_limiter), PaceFilter(view, pace_source)],
             self._transport,
             self._costs,
             self._rejections,
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -198,6 +198,14 @@
                 "Live instances as last heard",
                 float(view.members),
             ),
+            "paced_upstreams": (
+                "Upstreams whose requests are limited after a start or failures",
+                float(len(view.paces)),
+            ),
+            "known_speeds": (
+                "Upstreams whose lasting speed is known",
+                float(len(view.speeds.list_lasting())),
+            ),
             "coordinator": ("1 on the coordinator", float(coordinator is not None)),
             "cut_off": (
                 "1 while no upstream can be connected to",
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -224,8 +224,7 @@
         ]
 
         def estimate_cost(name: str) -> float:
-            expected = self._costs.estimate(call, eligible[name])
-            return expected.wait_s + expected.work_s
+            return self._costs.estimate_cost_s(call, eligible[name])
 
         settings = self._settings.choice
         chosen = choose_cheapest(
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -10,6 +10,7 @@
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
+from plantaincart_router.direct.pacesource import is_good_answer
 from plantaincart_router.direct.transport import (
     Attempt,
     AttemptProgress,
@@ -110,9 +111,11 @@
             if in_progress >= FULL_FACTOR * record.slots:
                 self._record_full(call, record)
             if error.timed_out:
-                waited_s = monotonic() - sent_at
-                expected_s = expected.wait_s + expected.work_s
-                loads.record_overdue(record.id, waited_s, expected_s)
+                self._view.paces.record(record.id, is_good=False)
+                self._costs.record_overdue(record, monotonic() - sent_at, expected)
+            else:
+                # Upstreams may reset the connection when they are full.
+                self._view.paces.record_full(record.id)
             raise
         finally:
             load.in_flight -= 1
@@ -128,14 +131,9 @@
         self._metrics.count("attempts", call.service.name, "answered")
         self._metrics.observe("upstream_seconds", now - sent_at, call.service.name)
         queued = in_progress >= record.slots
-        loads.record_work(
-            call.route.name,
-            record.id,
-            now - sent_at,
-            queued,
-            self._costs.default_work_s(call),
-        )
-        self._costs.record_answer(call)
+        is_good = is_good_answer(answer.status, now - sent_at, expected)
+        self._view.paces.record(record.id, is_good)
+        self._costs.record_answer(call, record, now - sent_at, metadata.load, queued)
         return self._header_codec.write_answer(answer)
 
     def _evaluate_not_run(
@@ -160,8 +158,12 @@
         requests = metadata.request_count or 0
         if requests >= FULL_FACTOR * record.slots and not metadata.misdirected:
             self._record_full(call, record)
-        if not at_capacity and not metadata.misdirected:
-            self._view.loads.record_shed(record.id)
+        if not metadata.misdirected:
+            if at_capacity:
+                self._view.paces.record_full(record.id)
+            else:
+                self._view.paces.record(record.id, is_good=False)
+                self._costs.record_shed(record)
         return NotRunError(
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
