--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -155,6 +155,7 @@
             metrics,
             self._may_retry,
         )
+        self.silence.listener = view.room
         self.relay = RelayHandler(
             view, header_codec, direct, metrics, self._answer_memory
         )
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -11,6 +11,7 @@
 from plantaincart_router.direct.interface import AnswerMetadata, HeaderCodec
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.pacesource import is_good_answer
+from plantaincart_router.direct.sharedroom import FULL_FACTOR
 from plantaincart_router.direct.transport import (
     Attempt,
     AttemptProgress,
@@ -22,10 +23,6 @@
 
 __all__ = ["UpstreamSender"]
 
-# Requests for each slot from which on an upstream that resets a connection or doesn't
-# answer is taken to be full.
-FULL_FACTOR = 2.0
-
 
 class UpstreamSender:
     """
@@ -108,7 +105,8 @@
         try:
             answer = await self._exchange(call, record, progress)
         except LostError as error:
-            if in_progress >= FULL_FACTOR * record.slots:
+            is_full = in_progress >= FULL_FACTOR * record.slots
+            if is_full and not error.timed_out:
                 self._record_full(call, record)
             if error.timed_out:
                 self._view.paces.record(record.id, is_good=False)
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -13,9 +13,10 @@
 
 from plantaincart_router.direct.capacity import CapacitySource
 from plantaincart_router.direct.roomgate import RoomGate
+from plantaincart_router.direct.silencelistener import SilenceListener
 from plantaincart_router.log import write_event
 
-__all__ = ["PolicyFinder", "SharedRoom"]
+__all__ = ["FULL_FACTOR", "PolicyFinder", "SharedRoom"]
 
 PolicyFinder = Callable[[str], ServicePolicy | None]
 
@@ -27,11 +28,14 @@
 GRANT_WAIT_S = 0.1
 # Seconds for which the upstreams of a service are listed once.
 LIST_S = 0.5
+# Requests for each slot from which on an upstream that resets a connection, rejects or
+# doesn't answer is taken to be full.
+FULL_FACTOR = 2.0
 # Upstreams that a report names as avoided, at most.
 MAX_AVOIDED = 256
 
 
-class SharedRoom(RoomGate):
+class SharedRoom(RoomGate, SilenceListener):
     """
     Lets requests pass as far as this instance was given room.
 
@@ -151,6 +155,11 @@
             own=self.share.count_in_use(record.id),
         )
 
+    def record_silent(self, record: UpstreamRecord, in_flight: float) -> None:
+        """Record that an upstream that was full didn't answer a request."""
+        if in_flight >= FULL_FACTOR * record.slots:
+            self.record_full(record)
+
     def list_held(self, now: float) -> dict[str, int]:
         """Return the units that this instance goes on using."""
         self.share.give_back(
--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -16,12 +16,13 @@
 from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
+from plantaincart_router.direct.silencelistener import SilenceListener
 from plantaincart_router.direct.transport import AttemptProgress
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.message import HttpAnswer
 from plantaincart_router.log import write_event
 
-__all__ = ["SilenceGuard"]
+__all__ = ["SilenceGuard", "SilenceListener"]
 
 # Seconds between looks at whether the queue of a silent owner has drained, as a
 # multiple of the time that one request takes there.
@@ -108,6 +109,7 @@
         self._metrics = metrics
         self._may_repeat = may_repeat
         self._background: set[Task[HttpAnswer]] = set()
+        self.listener: SilenceListener | None = None
 
     def close(self) -> None:
         """End the attempts that go on in the background."""
@@ -288,12 +290,15 @@
         return answer
 
     def _record_unanswered(self, attempt: _Attempt) -> None:
-        call = attempt.call
+        call, record = attempt.call, attempt.record
         waited = attempt.measure(monotonic())
         if waited is None or attempt.progress.started_at is not None:
             return
-        if self._find_silence(call).record_unanswered(waited):
-            self._metrics.count("silent", call.service.name, "unanswered")
+        if not self._find_silence(call).record_unanswered(waited):
+            return
+        self._metrics.count("silent", call.service.name, "unanswered")
+        if self.listener is not None:
+            self.listener.record_silent(record, attempt.in_flight)
 
     def _judge(self, attempt: _Attempt) -> bool:
         """Take an attempt for silent unless its answer has begun to arrive."""
