Keep a unit for a moment after an upstream turned a request away

Change: a unit is kept for 0.25 s after a reset, longer after silence; slow upstreams without keys have fewer units; what upstreams hold is only reduced if several turn requests away; the ledger is divided into modules.

--- a/packages/core/plantaincart_core/room.py
+++ b/packages/core/plantaincart_core/room.py
@@ -52,6 +52,8 @@
 # burst of resets is one observation; a wrong one is forgotten within some seconds.
 REDUCTION_INTERVAL_S = 1.0
 REGROWTH_INTERVAL_S = 3.0
+# Upstreams that must have turned requests away in the window for a reduction.
+MIN_FULL_UPSTREAMS = 5
 # Waiting requests for each slot that are assumed at least.
 MIN_QUEUE_PER_SLOT = 1.0
 # Greatest stated queue that is believed, per slot.
@@ -71,8 +73,8 @@
     -----
     The longest queue that an upstream has stated is certainly held. An upstream that
     turns requests away although no more were sent than it was taken to hold, holds
-    less; one step is taken back at a time, since a connection may also be reset for
-    another reason.
+    less. This is believed if several do so, one step at a time: a single one may also
+    hold requests whose callers have gone, or reset connections for another reason.
 
     Examples
     --------
@@ -86,7 +88,7 @@
     True
     >>> estimate.is_divided(instances=12, slots=2, now=0.0)
     False
-    >>> estimate.record_full(3, now=1.0)
+    >>> estimate.record_full("u1", 3, now=1.0)
     >>> estimate.is_divided(instances=12, slots=2, now=1.0)
     True
     """
@@ -98,6 +100,7 @@
         self._reduced_at = float("-inf")
         self._window_began_at = float("-inf")
         self._window_count = 0
+        self._full: set[str] = set()
         self._active_until = float("-inf")
 
     def adopt(self, room: int, slots: int, now: float) -> None:
@@ -110,16 +113,20 @@
         stated = min(waiting_per_slot, MAX_QUEUE_PER_SLOT)
         self._queue_per_slot = max(self._queue_per_slot, stated)
 
-    def record_full(self, attempts: int, now: float) -> None:
-        """Record attempts that full upstreams have turned away."""
+    def record_full(self, upstream: str, attempts: int, now: float) -> None:
+        """Record attempts that an upstream has turned away since it was full."""
         settings = self._settings
         is_divided = now < self._active_until
         if now - self._window_began_at > settings.evidence_window_s:
             self._window_began_at, self._window_count = now, 0
+            self._full.clear()
         self._window_count += attempts
+        self._full.add(upstream)
         if self._window_count >= settings.evidence:
             self._active_until = now + settings.active_s
-            if is_divided and now - self._reduced_at >= REDUCTION_INTERVAL_S:
+            is_common = len(self._full) >= MIN_FULL_UPSTREAMS
+            is_due = now - self._reduced_at >= REDUCTION_INTERVAL_S
+            if is_divided and is_common and is_due:
                 most = self._queue_per_slot - MIN_QUEUE_PER_SLOT
                 self._reduction = min(most, self._reduction + 0.5)
                 self._reduced_at = now
--- a/packages/core/plantaincart_core/tests/test_room.py
+++ b/packages/core/plantaincart_core/tests/test_room.py
@@ -5,7 +5,8 @@
 
 import pytest
 from plantaincart_core.room import RoomSettings
-from plantaincart_core.roomledger import MemberRoom, RoomLedger, UpstreamRoom
+from plantaincart_core.roomaccount import MemberRoom, UpstreamRoom
+from plantaincart_core.roomledger import RoomLedger
 from plantaincart_core.roomshare import RoomGrant, RoomShare, list_fallback
 
 SETTINGS = RoomSettings()
@@ -204,6 +205,21 @@
     assert ledger.count_taken("u1") <= 2
 
 
+def test_owner_that_is_not_scarce_is_not_divided():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=8, keyed=True)}
+    )
+    assert not ledger.record_report("r1", MemberRoom(in_use={"u1": 2}), 0.0)
+    assert ledger.grant("r1", 0.0)[1] == {}
+    report = MemberRoom(in_use={"u1": 2}, waiting={"u1": 1})
+    assert not ledger.record_report("r1", report, 0.1)
+    assert ledger.grant("r1", 0.1)[1] == {"u1": 3}
+    assert ledger.record_report("r2", MemberRoom(in_use={"u1": 1}), 0.2)
+    assert ledger.grant("r3", 0.2) is None
+    assert ledger.grant("r2", 0.2)[1] == {"u1": 1}
+
+
 def test_earlier_build_counts_by_its_requests():
     ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
     ledger.set_rooms(
@@ -228,6 +244,19 @@
     assert ledger.count_taken("u1") == 0
 
 
+def test_instance_that_returns_after_its_lease_is_told_a_later_version():
+    """It ignored its units, whose versions had begun anew."""
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=4, keyed=False)}
+    )
+    ledger.record_report("r1", MemberRoom(wants={"desk": 3}), 0.0)
+    earlier, _ = ledger.grant("r1", 0.0)
+    ledger.retain([], 10.0)
+    ledger.record_report("r1", MemberRoom(version=earlier, wants={"desk": 3}), 11.0)
+    assert ledger.grant("r1", 11.0)[0] > earlier
+
+
 def test_new_ledger_gives_nothing_before_all_have_reported():
     ledger = RoomLedger(SETTINGS, 1, Random(1), 2, 0.0)
     ledger.set_rooms(
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -7,8 +7,10 @@
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.room import RoomEstimate, find_reserve
-from plantaincart_core.roomledger import MemberRoom, RoomLedger, UpstreamRoom
+from plantaincart_core.roomaccount import MemberRoom, UpstreamRoom
+from plantaincart_core.roomledger import RoomLedger
 from plantaincart_core.roomshare import RoomGrant
+from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import CoordinatorNotice, MemberReport
 
 from plantaincart_router.direct.membership import Member, Membership
@@ -38,15 +40,22 @@
         Announced upstreams.
     find_policy : callable
         Returns the settings of a service, or None.
+    loads : UpstreamLoads
+        Slowness of upstreams, as all instances have measured it.
     """
 
     # Units don't depend on the map of owners.
     needs_map = False
 
     def __init__(
-        self, room: SharedRoom, directory: UpstreamDirectory, find_policy: PolicyFinder
+        self,
+        room: SharedRoom,
+        directory: UpstreamDirectory,
+        find_policy: PolicyFinder,
+        loads: UpstreamLoads,
     ) -> None:
         self._room = room
+        self._loads = loads
         self._directory = directory
         self._find_policy = find_policy
 
@@ -81,7 +90,9 @@
 
     def open_term(self, members: Membership) -> FactTerm:
         """Return the coordinator's side, which continues what was divided before."""
-        return _RoomTerm(self._room, self._directory, self._find_policy, members)
+        return _RoomTerm(
+            self._room, self._directory, self._find_policy, self._loads, members
+        )
 
     def forget_upstream(self, record: UpstreamRecord, now: float) -> None:
         """Give up the units of a process that has ended."""
@@ -94,11 +105,13 @@
         room: SharedRoom,
         directory: UpstreamDirectory,
         find_policy: PolicyFinder,
+        loads: UpstreamLoads,
         members: Membership,
     ) -> None:
         self._room = room
         self._directory = directory
         self._find_policy = find_policy
+        self._loads = loads
         self._members = members
         self._estimates: dict[str, RoomEstimate] = {}
         self._divided: dict[str, int] = {}
@@ -118,9 +131,10 @@
 
     def record_report(self, member: Member, now: float) -> bool:
         report = member.report
-        for service, count in report.room_full.items():
-            if self._find_policy(service) is not None:
-                self._find_estimate(service).record_full(count, now)
+        for name, count in report.room_full.items():
+            record = self._directory.get(name)
+            if record is not None:
+                self._find_estimate(record.service).record_full(name, count, now)
         for service, per_slot in report.room_queues.items():
             if self._find_policy(service) is not None:
                 self._find_estimate(service).record_queue(per_slot)
@@ -184,6 +198,10 @@
                 ):
                     continue
                 units = self._limit(record, estimate.find_room(record.slots), now)
+                if not policy.keyed:
+                    # What a slow upstream would hold for long is better elsewhere.
+                    slowness = max(1.0, self._loads.get(record.id).slowness)
+                    units = max(min(units, record.slots), int(units / slowness))
                 reserve = find_reserve(len(self._members), len(records), units)
                 rooms[record.id] = UpstreamRoom(
                     service=service,
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -1,7 +1,9 @@
 """A single attempt at an upstream, and the evaluation of its answer."""
 
+from asyncio import CancelledError
 from time import monotonic
 
+from plantaincart_core.admission import LatencyEstimate
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.verdict import Reason
 
@@ -23,6 +25,11 @@
 # Requests for each slot from which on an upstream that resets a connection or doesn't
 # answer is taken to be full.
 FULL_FACTOR = 2.0
+# Seconds for which a unit isn't used again after an upstream turned a request away: the
+# time in which it finishes some.
+FULL_HOLD_S = 0.25
+# Longest time in seconds after a request that wasn't answered.
+MAX_HOLD_S = 1.0
 
 
 class UpstreamSender:
@@ -89,16 +96,33 @@
         if not self._view.room.try_acquire(record, monotonic()):
             # Taken by another request while this one waited for a permit.
             raise NotRunError(f"no room at upstream {record.id}", False, True)
+        hold_s = 0.0
+        expected = self._costs.estimate(call, record)
+        unanswered_s = min(expected.wait_s + expected.work_s, MAX_HOLD_S)
         try:
-            return await self._send(call, record)
+            return await self._send(call, record, expected)
+        except NotRunError as error:
+            if error.was_received and error.at_capacity and not error.misdirected:
+                hold_s = FULL_HOLD_S
+            raise
+        except LostError as error:
+            hold_s = unanswered_s if error.timed_out else FULL_HOLD_S
+            raise
+        except CancelledError:
+            hold_s = unanswered_s
+            raise
         finally:
-            self._view.room.release(record)
-
-    async def _send(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
+            # Others would be turned away, too: the upstream is full, or may still hold
+            # the request.
+            is_divided = self._view.room.share.is_divided(record.service)
+            self._view.room.release_later(record, hold_s if is_divided else 0.0)
+
+    async def _send(
+        self, call: Call, record: UpstreamRecord, expected: LatencyEstimate
+    ) -> HttpAnswer:
         loads = self._view.loads
         load = loads.get(record.id)
         in_progress = load.estimate_in_flight(monotonic(), loads.settings)
-        expected = self._costs.estimate(call, record)
         load.in_flight += 1
         call.upstream = record.id
         sent_at = monotonic()
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -11,7 +11,9 @@
 from plantaincart_core.traffic import ServicePolicy
 from plantaincart_core.upstreamload import UpstreamLoads
 
+from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.capacity import CapacitySource
+from plantaincart_router.direct.connectfailures import ConnectFailures
 from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.log import write_event
 
@@ -45,6 +47,10 @@
         Requests of all instances.
     find_policy : callable
         Returns the settings of a service, or None.
+    backoffs : UpstreamBackoffs
+        Upstreams that want a pause; units there are of no use.
+    connect_failures : ConnectFailures
+        Upstreams to which connecting failed; units there are of no use.
     sources : sequence of CapacitySource
         Further limits of the room, which the coordinator applies.
 
@@ -56,8 +62,6 @@
         Units of this instance.
     ask : callable
         Reports to the coordinator soon.
-    is_avoided : callable
-        Returns whether this instance can't send to an upstream at the moment.
 
     Notes
     -----
@@ -71,6 +75,8 @@
         directory: UpstreamDirectory,
         loads: UpstreamLoads,
         find_policy: PolicyFinder,
+        backoffs: UpstreamBackoffs,
+        connect_failures: ConnectFailures,
         sources: Sequence[CapacitySource] = (),
     ) -> None:
         self.settings = settings
@@ -85,7 +91,8 @@
         self._queues: dict[str, float] = {}
         self._fallback: dict[str, tuple[float, list[str]]] = {}
         self._timer: TimerHandle | None = None
-        self.is_avoided: Callable[[UpstreamRecord, float], bool] = _avoid_none
+        self._backoffs = backoffs
+        self._connect_failures = connect_failures
 
     def try_acquire(self, record: UpstreamRecord, now: float) -> bool:
         """Take a unit of room at an upstream, if there is one."""
@@ -104,6 +111,22 @@
             # Others may wait for the unit, which is reported as given back.
             self.ask()
 
+    def release_later(self, record: UpstreamRecord, after_s: float) -> None:
+        """
+        Give back a unit after a time in which the upstream should have no room.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            Process of the upstream.
+        after_s : float
+            Seconds.
+        """
+        if after_s <= 0.0:
+            self.release(record)
+        else:
+            get_running_loop().call_later(after_s, self.release, record)
+
     def has_room(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether `try_acquire` would succeed."""
         share, service = self.share, record.service
@@ -143,7 +166,7 @@
 
     def record_full(self, record: UpstreamRecord) -> None:
         """Record that an upstream that was full turned a request away."""
-        self._full[record.service] += 1
+        self._full[record.id] += 1
         write_event(
             "upstream_full",
             upstream=record.id,
@@ -163,12 +186,12 @@
         avoided = [
             record.id
             for record in self._directory
-            if self.share.is_divided(record.service) and self.is_avoided(record, now)
+            if self.share.is_divided(record.service) and self._is_avoided(record, now)
         ]
         return avoided[:MAX_AVOIDED]
 
     def pop_full(self) -> dict[str, int]:
-        """Return the requests turned away since the last call, by service."""
+        """Return the requests turned away since the last call, by upstream."""
         full, self._full = self._full, Counter()
         return dict(full)
 
@@ -190,6 +213,11 @@
         """Give up the units of a process that has ended."""
         self.share.forget(record.id)
 
+    def _is_avoided(self, record: UpstreamRecord, now: float) -> bool:
+        if self._backoffs.remaining_s(record, now) > 0.0:
+            return True
+        return self._connect_failures.retry_delay_s(record, now) > 0.0
+
     def _is_keyed(self, service: str) -> bool:
         policy = self._find_policy(service)
         return policy is not None and policy.keyed
@@ -224,7 +252,3 @@
 
 def _ignore() -> None:
     pass
-
-
-def _avoid_none(record: UpstreamRecord, now: float) -> bool:
-    return False
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -114,17 +114,21 @@
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
         self.room = SharedRoom(
-            settings.room, self.directory, self.loads, self.find_policy
+            settings.room,
+            self.directory,
+            self.loads,
+            self.find_policy,
+            self.backoffs,
+            pools.connect_failures,
         )
         # Waiting for a permit and for room are reported in the same way.
         self.room.ask = lambda: self.quotas.on_wait()
-        self.room.is_avoided = self._is_avoided
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
-            RoomFact(self.room, self.directory, self.find_policy),
+            RoomFact(self.room, self.directory, self.find_policy, self.loads),
         )
         self._changed = Event()
 
@@ -334,12 +338,6 @@
         refused_keys, self._refused_keys = self._refused_keys, []
         return refused_keys
 
-    def _is_avoided(self, record: UpstreamRecord, now: float) -> bool:
-        """Whether an upstream wants a pause, or connecting to it has just failed."""
-        if self.backoffs.remaining_s(record, now) > 0.0:
-            return True
-        return self._pools.connect_failures.retry_delay_s(record, now) > 0.0
-
     def _replace_upstreams(
         self, view: TableRows, known_until: float, is_restored: bool
     ) -> list[str]:
