--- a/packages/core/plantaincart_core/roomledger.py
+++ b/packages/core/plantaincart_core/roomledger.py
@@ -24,6 +24,8 @@
 REMOTE_PENALTY = 0.35
 # A unit moves if another upstream is better by this much.
 MOVE_GAIN = 0.35
+# Share of the reports after which that is looked for, as it compares many upstreams.
+MOVE_SHARE = 0.25
 # Units beyond the target that a member keeps, so that few are moved to and fro.
 SLACK = 1
 # Part of the spare units that must be left, as otherwise instances that don't need
@@ -228,7 +230,7 @@
             if best is None:
                 break
             self._account.add(lease, units, best)
-        if present >= target and own:
+        if present >= target and own and self._random.random() < MOVE_SHARE:
             worst = max(own, key=lambda name: self._rate(lease, units, name, 0))
             best = self._find_best(lease, units, service)
             if best is not None and self._rate(lease, units, best, 1) + MOVE_GAIN < (
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -26,6 +26,9 @@
 # there; a single one may have been told so by mistake.
 MIN_BACKED_OFF = 2
 VERSION_BITS = 48
+# Seconds for each member between two messages to all that an owner has become scarce,
+# as a message to one takes the coordinator up to a millisecond.
+ANNOUNCE_INTERVAL_S_PER_MEMBER = 0.003
 
 
 class RoomFact(SharedFact):
@@ -116,6 +119,7 @@
         self._estimates: dict[str, RoomEstimate] = {}
         self._divided: dict[str, int] = {}
         self._updated_at = float("-inf")
+        self._announced_at = float("-inf")
         now = monotonic()
         random = Random()
         grant = room.share.grant
@@ -139,7 +143,12 @@
             if self._find_policy(service) is not None:
                 self._find_estimate(service).record_queue(per_slot)
         self._update_rooms(now)
-        return self._ledger.record_report(report.member, _read_room(report), now)
+        has_news = self._ledger.record_report(report.member, _read_room(report), now)
+        interval_s = ANNOUNCE_INTERVAL_S_PER_MEMBER * len(self._members)
+        if not has_news or now - self._announced_at < interval_s:
+            return False
+        self._announced_at = now
+        return True
 
     def retain(self, members: Iterable[str]) -> None:
         self._ledger.retain(members, monotonic())
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -91,6 +91,7 @@
         self._queues: dict[str, float] = {}
         self._fallback: dict[str, tuple[float, list[str]]] = {}
         self._timer: TimerHandle | None = None
+        self._gave_back_at = float("-inf")
         self._backoffs = backoffs
         self._connect_failures = connect_failures
 
@@ -107,8 +108,11 @@
         self._listener()
         share = self.share
         is_unused = share.count_in_use(record.id) < share.grant.units.get(record.id, 0)
-        if is_unused and self._is_keyed(record.service):
+        now = monotonic()
+        is_due = now - self._gave_back_at > self._choose_interval_s()
+        if is_unused and is_due and self._is_keyed(record.service):
             # Others may wait for the unit, which is reported as given back.
+            self._gave_back_at = now
             self.ask()
 
     def release_later(self, record: UpstreamRecord, after_s: float) -> None:
@@ -237,12 +241,13 @@
         """Ask for as long as requests wait."""
         if self._timer is not None:
             return
-        interval_s = max(
-            MIN_ASK_INTERVAL_S,
-            self.share.grant.instances * ASK_INTERVAL_S_PER_INSTANCE,
-        )
+        interval_s = self._choose_interval_s()
         self._timer = get_running_loop().call_later(interval_s, self._handle_timer)
 
+    def _choose_interval_s(self) -> float:
+        instances = self.share.grant.instances
+        return max(MIN_ASK_INTERVAL_S, instances * ASK_INTERVAL_S_PER_INSTANCE)
+
     def _handle_timer(self) -> None:
         self._timer = None
         if self.share.list_waiting():
