--- a/packages/core/plantaincart_core/roomshare.py
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -114,6 +114,7 @@
         self.grant = RoomGrant()
         self._in_use: Counter[str] = Counter()
         self._waiting: Counter[str] = Counter()
+        self._held: Counter[str] = Counter()
         self._demand: Counter[str] = Counter()
         self._peaks: dict[str, deque[tuple[float, int]]] = {}
 
@@ -136,15 +137,15 @@
         return now - self.grant.asked_at < self._settings.lease_s
 
     def count_in_use(self, upstream: str) -> int:
-        """Return this instance's requests at an upstream."""
-        return self._in_use[upstream]
+        """Return the units of an upstream that are used or not to be used now."""
+        return self._in_use[upstream] + self._held[upstream]
 
     def may_use(self, upstream: str, service: str, now: float) -> bool:
         """Return whether a unit of an upstream of a service without keys is free."""
         if not self.is_divided(service):
             return True
         units = self.grant.units.get(upstream, 0) if self.has_lease(now) else 0
-        return self._in_use[upstream] < units
+        return self.count_in_use(upstream) < units
 
     def may_use_owner(
         self, upstream: str, service: str, in_flight: float, now: float
@@ -164,7 +165,7 @@
         room = self.grant.rooms.get(service)
         if room is None:
             return True
-        own = self._in_use[upstream]
+        own = self.count_in_use(upstream)
         if self.has_lease(now):
             units = self.grant.units.get(upstream)
             if units is not None:
@@ -184,6 +185,16 @@
             del self._in_use[upstream]
         self._record_demand(service, -1, now)
 
+    def hold(self, upstream: str) -> None:
+        """Use one unit less, as the upstream has no room for it at the moment."""
+        self._held[upstream] += 1
+
+    def end_hold(self, upstream: str) -> None:
+        """Use it again."""
+        self._held[upstream] -= 1
+        if self._held[upstream] <= 0:
+            del self._held[upstream]
+
     def record_waiting(
         self, upstream: str, service: str, change: int, now: float
     ) -> None:
@@ -215,7 +226,7 @@
         units = {}
         for name, count in self.grant.units.items():
             if name in keyed:
-                count = min(count, self._in_use[name] + self._waiting[name])
+                count = min(count, self.count_in_use(name) + self._waiting[name])
             units[name] = count
         self.grant = replace(self.grant, units=units)
 
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -221,7 +221,7 @@
             # The request may have waited, or ended an upstream.
             self._check_quarantine(call)
             try:
-                return await self._sender.send(call, record)
+                return await self._send_once(call, record)
             except NotRunError as error:
                 self._metrics.count("attempts", call.service.name, "not-run")
                 write_event(
@@ -247,6 +247,17 @@
                 )
                 self._check_retry_after_loss(call, str(error))
 
+    async def _send_once(self, call: Call, record: UpstreamRecord) -> HttpAnswer:
+        """Send a request on a unit of room, and give it back when that has ended."""
+        room = self._view.room
+        if not room.try_acquire(record, monotonic()):
+            # Taken by another request while this one waited for a permit.
+            raise NotRunError(f"no room at upstream {record.id}", False, True)
+        try:
+            return await self._sender.send(call, record)
+        finally:
+            room.release(record)
+
     def _check_quarantine(self, call: Call) -> None:
         """Reject a request under which several upstreams have ended."""
         view = self._view
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -93,29 +93,21 @@
         """
         if call.caller.disconnected.is_set() and not call.sent:
             raise refuse(Reason.TIMEOUT, "the caller has gone", 0.0, 503)
-        if not self._view.room.try_acquire(record, monotonic()):
-            # Taken by another request while this one waited for a permit.
-            raise NotRunError(f"no room at upstream {record.id}", False, True)
-        hold_s = 0.0
         expected = self._costs.estimate(call, record)
         unanswered_s = min(expected.wait_s + expected.work_s, MAX_HOLD_S)
+        room = self._view.room
         try:
             return await self._send(call, record, expected)
         except NotRunError as error:
             if error.was_received and error.at_capacity and not error.misdirected:
-                hold_s = FULL_HOLD_S
+                room.hold(record, FULL_HOLD_S)
             raise
         except LostError as error:
-            hold_s = unanswered_s if error.timed_out else FULL_HOLD_S
+            room.hold(record, unanswered_s if error.timed_out else FULL_HOLD_S)
             raise
         except CancelledError:
-            hold_s = unanswered_s
+            room.hold(record, unanswered_s)
             raise
-        finally:
-            # Others would be turned away, too: the upstream is full, or may still hold
-            # the request.
-            is_divided = self._view.room.share.is_divided(record.service)
-            self._view.room.release_later(record, hold_s if is_divided else 0.0)
 
     async def _send(
         self, call: Call, record: UpstreamRecord, expected: LatencyEstimate
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -115,21 +115,24 @@
             self._gave_back_at = now
             self.ask()
 
-    def release_later(self, record: UpstreamRecord, after_s: float) -> None:
+    def hold(self, record: UpstreamRecord, hold_s: float) -> None:
         """
-        Give back a unit after a time in which the upstream should have no room.
+        Use one unit less for a time, since an upstream has no room for it.
 
         Parameters
         ----------
         record : UpstreamRecord
-            Process of the upstream.
-        after_s : float
+            Process that turned a request away, or may still hold one that has ended.
+        hold_s : float
             Seconds.
         """
-        if after_s <= 0.0:
-            self.release(record)
-        else:
-            get_running_loop().call_later(after_s, self.release, record)
+        if self.share.is_divided(record.service):
+            self.share.hold(record.id)
+            get_running_loop().call_later(hold_s, self._end_hold, record)
+
+    def _end_hold(self, record: UpstreamRecord) -> None:
+        self.share.end_hold(record.id)
+        self._listener()
 
     def has_room(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether `try_acquire` would succeed."""
