--- a/packages/core/plantaincart_core/tests/test_room.py
+++ b/packages/core/plantaincart_core/tests/test_room.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from plantaincart_core.room import RoomSettings
+from plantaincart_core.room import RoomEstimate, RoomSettings
 from plantaincart_core.roomaccount import MemberRoom, UpstreamRoom
 from plantaincart_core.roomledger import RoomLedger
 from plantaincart_core.roomshare import RoomGrant, RoomShare, list_fallback
@@ -279,3 +279,52 @@
     )
     assert max(used.values()) <= -(-instances // upstreams)
     assert all(list_fallback(names, instances, rank) for rank in range(instances))
+
+
+def test_room_is_reduced_only_if_several_upstreams_turn_requests_away():
+    """One owner that still held requests whose callers had gone lowered it for all."""
+    estimate = RoomEstimate(SETTINGS)
+    for second in range(5):
+        estimate.record_full("u1", 30, float(second))
+    assert estimate.is_divided(instances=5, slots=2, now=5.0)
+    assert estimate.find_room(slots=2) == 8
+    for second in range(5, 8):
+        for number in range(6):
+            estimate.record_full(f"u{number}", 1, second + 0.01 * number)
+    reduced = estimate.find_room(slots=2)
+    assert 4 <= reduced < 8
+    for second in range(8, 40):
+        estimate.regrow(float(second))
+    assert estimate.find_room(slots=2) == 8
+    assert not estimate.is_divided(instances=5, slots=2, now=40.0)
+
+
+def test_units_at_upstreams_that_are_of_no_use_move():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    room = UpstreamRoom(service="desk", data_centre="", units=4, keyed=False)
+    ledger.set_rooms({"u1": room, "u2": room})
+    ledger.record_report("r1", MemberRoom(wants={"desk": 2}), 0.0)
+    version, units = ledger.grant("r1", 0.0)
+    assert set(units) == {"u1", "u2"}
+    report = MemberRoom(
+        version=version, held=units, wants={"desk": 2}, avoided=frozenset({"u1"})
+    )
+    ledger.record_report("r1", report, 0.2)
+    assert set(ledger.grant("r1", 0.2)[1]) == {"u2"}
+
+
+def test_request_of_another_data_centre_gets_local_room_first():
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {
+            name: UpstreamRoom(
+                service="desk", data_centre=name[0], units=4, keyed=False
+            )
+            for name in ("a1", "a2", "b1", "b2")
+        }
+    )
+    report = MemberRoom(wants={"desk": 2}, data_centre="b")
+    # Others use some, so that the rest isn't divided.
+    ledger.record_report("r2", MemberRoom(wants={"desk": 11}, data_centre="a"), 0.0)
+    ledger.record_report("r1", report, 0.0)
+    assert set(ledger.grant("r1", 0.0)[1]) == {"b1", "b2"}
