--- a/packages/core/plantaincart_core/roomledger.py
+++ b/packages/core/plantaincart_core/roomledger.py
@@ -258,13 +258,13 @@
     def _rate(
         self, lease: RoomLease, units: dict[str, int], name: str, added: int
     ) -> float:
-        """Rate how full an upstream is for a member; the lowest is the best."""
+        """Rate how full and how busy an upstream is; the lowest is the best."""
         room = self._rooms[name]
         others = self._account.taken[name] - lease.taken.get(name, 0)
         own = units.get(name, 0) + added
         is_remote = room.data_centre != lease.report.data_centre
         return (
-            (others + own) / max(1, room.units)
+            (others + own + self._account.demand[name]) / max(1, room.units)
             + HELD_PENALTY * (own - 1)
             + REMOTE_PENALTY * is_remote
         )
--- a/packages/core/plantaincart_core/roomshare.py
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -204,6 +204,11 @@
             del self._waiting[upstream]
         self._record_demand(service, change, now)
 
+    def record_shortage(self, service: str, now: float) -> None:
+        """Record that no unit of a service was of use for a request."""
+        self._record_demand(service, 1, now)
+        self._demand[service] -= 1
+
     def list_wants(self, now: float) -> dict[str, int]:
         """Return the units that this instance wants, by service."""
         wants = {}
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -145,5 +145,7 @@
                 return eligible[chosen]
         # The request is rejected only if no upstream could answer in time.
         cheapest = eligible[min(eligible, key=estimate_cost)]
+        if not self._admission.assess(call, cheapest)[1].admitted:
+            self._view.room.record_shortage(call.service.name)
         self._admission.admit(call, cheapest)
         return cheapest
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -92,6 +92,7 @@
         self._fallback: dict[str, tuple[float, list[str]]] = {}
         self._timer: TimerHandle | None = None
         self._gave_back_at = float("-inf")
+        self._asked_short_at = float("-inf")
         self._backoffs = backoffs
         self._connect_failures = connect_failures
 
@@ -165,6 +166,15 @@
             self.ask()
             self._ask_again()
 
+    def record_shortage(self, service: str) -> None:
+        """Ask for further units, since those at hand are at busy upstreams."""
+        now = monotonic()
+        if self.share.is_divided(service):
+            self.share.record_shortage(service, now)
+            if now - self._asked_short_at > self._choose_interval_s():
+                self._asked_short_at = now
+                self.ask()
+
     def record_load(self, record: UpstreamRecord, waiting: int) -> None:
         """Record how many waiting requests an upstream states that it holds."""
         per_slot = waiting / max(1, record.slots)
