--- a/packages/core/plantaincart_core/room.py
+++ b/packages/core/plantaincart_core/room.py
@@ -34,7 +34,8 @@
     evidence_window_s : float
         Length of that window in seconds.
     active_s : float
-        Seconds for which room stays divided after the last such attempt.
+        Seconds for which room stays divided after the last such attempt, or after there
+        were as many instances.
     """
 
     lease_s: float = 4.0
@@ -84,13 +85,15 @@
     >>> estimate.record_queue(4.0)
     >>> estimate.find_room(slots=2)
     10
-    >>> estimate.is_divided(instances=70, slots=2, now=0.0)
-    True
     >>> estimate.is_divided(instances=12, slots=2, now=0.0)
     False
     >>> estimate.record_full("u1", 3, now=1.0)
     >>> estimate.is_divided(instances=12, slots=2, now=1.0)
     True
+    >>> estimate.is_divided(instances=12, slots=2, now=50.0)
+    False
+    >>> estimate.is_divided(instances=70, slots=2, now=50.0)
+    True
     """
 
     def __init__(self, settings: RoomSettings) -> None:
@@ -144,9 +147,10 @@
 
     def is_divided(self, instances: int, slots: int, now: float) -> bool:
         """Return whether instances use only the room that is given to them."""
-        if now < self._active_until:
-            return True
-        return instances >= self._settings.crowd * self.find_room(slots)
+        if instances >= self._settings.crowd * self.find_room(slots):
+            # For a while, so that it doesn't begin and end with a single instance.
+            self._active_until = max(self._active_until, now + self._settings.active_s)
+        return now < self._active_until
 
 
 def find_reserve(instances: int, upstreams: int, room: int) -> int:
