--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -207,10 +207,11 @@
                 ):
                     continue
                 units = self._limit(record, estimate.find_room(record.slots), now)
-                if not policy.keyed:
-                    # What a slow upstream would hold for long is better elsewhere.
-                    slowness = max(1.0, self._loads.get(record.id).slowness)
-                    units = max(min(units, record.slots), int(units / slowness))
+                # What a slow upstream would hold for long is better elsewhere, or waits
+                # at the entry; an owner needs some that follow without a gap.
+                least = min(units, record.slots * (2 if policy.keyed else 1))
+                slowness = max(1.0, self._loads.get(record.id).slowness)
+                units = max(least, int(units / slowness))
                 reserve = find_reserve(len(self._members), len(records), units)
                 rooms[record.id] = UpstreamRoom(
                     service=service,
