--- a/packages/core/plantaincart_core/roomaccount.py
+++ b/packages/core/plantaincart_core/roomaccount.py
@@ -215,6 +215,9 @@
     ) -> bool:
         """Return whether a further unit is free, or counts for the member already."""
         held = units.get(name, 0)
+        present = max(held + 1, lease.report.in_use.get(name, 0))
+        if self.planned[name] - lease.planned.get(name, 0) + present > limit:
+            return False
         return held < lease.taken.get(name, 0) or self.taken[name] < limit
 
     def add(self, lease: RoomLease, units: dict[str, int], name: str) -> None:
@@ -223,9 +226,10 @@
         if units[name] > lease.taken.get(name, 0):
             lease.taken[name] = units[name]
             self.taken[name] += 1
+        self.plan(lease, name, units[name])
 
-    def cut(self, lease: RoomLease, name: str, units: int) -> None:
-        """Count units that are taken back at once, so that others keep theirs."""
+    def plan(self, lease: RoomLease, name: str, units: int) -> None:
+        """Count changed units at once, so that the next choice considers them."""
         present = max(units, lease.report.in_use.get(name, 0))
         self.planned[name] += present - lease.planned.get(name, 0)
         lease.planned[name] = present
--- a/packages/core/plantaincart_core/roomledger.py
+++ b/packages/core/plantaincart_core/roomledger.py
@@ -161,7 +161,7 @@
         elif excess > 0:
             units[name] -= excess
         if units.get(name, 0) != lease.granted[name]:
-            self._account.cut(lease, name, units.get(name, 0))
+            self._account.plan(lease, name, units.get(name, 0))
 
     def _choose_target(self, lease: RoomLease, service: str, present: int) -> int:
         report = lease.report
--- a/packages/core/plantaincart_core/roomowners.py
+++ b/packages/core/plantaincart_core/roomowners.py
@@ -10,6 +10,10 @@
 # stays so afterwards.
 SCARCE_SHARE = 0.5
 SCARCE_S = 2.0
+# Part of the room that is given out at first, and for how many seconds: until all have
+# reported what they sent before.
+FIRST_SHARE = 0.5
+FIRST_S = 0.3
 
 
 class ScarceOwners:
@@ -26,12 +30,13 @@
         self._account = account
         self._rooms: Mapping[str, UpstreamRoom] = {}
         self._until: dict[str, float] = {}
+        self._since: dict[str, float] = {}
 
     def set_rooms(self, rooms: Mapping[str, UpstreamRoom]) -> None:
         """Set the room by upstream."""
         self._rooms = rooms
         for name in self._until.keys() - rooms.keys():
-            del self._until[name]
+            del self._until[name], self._since[name]
 
     def is_scarce(self, upstream: str, now: float) -> bool:
         """Return whether the room of an owner is divided."""
@@ -59,7 +64,9 @@
             if room is None or not room.keyed:
                 continue
             if self._account.demand[name] >= max(2.0, SCARCE_SHARE * room.units):
-                is_news |= now >= self._until.get(name, float("-inf"))
+                if not self.is_scarce(name, now):
+                    is_news = True
+                    self._since[name] = now
                 self._until[name] = now + SCARCE_S
         return is_news
 
@@ -79,14 +86,17 @@
             if not is_scarce and not waiting:
                 units.pop(name, None)
                 continue
+            limit = room.units
+            if is_scarce and now - self._since[name] < FIRST_S:
+                limit = max(1, int(FIRST_SHARE * limit))
             target, demand = own, self._account.demand[name]
-            if demand > room.units:
-                target = max(min(1, own), own * room.units // demand)
+            if demand > limit:
+                target = max(min(1, own), own * limit // demand)
             present = units.get(name, 0)
             while (
                 present < target
                 and may_add
-                and self._account.may_add(lease, units, name, room.units)
+                and self._account.may_add(lease, units, name, limit)
             ):
                 self._account.add(lease, units, name)
                 present += 1
--- a/packages/core/plantaincart_core/roomshare.py
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -9,14 +9,14 @@
 
 __all__ = ["RoomGrant", "RoomShare", "list_fallback"]
 
+# Seconds in which the reports of all instances arrive.
+DOUBT_S = 0.3
 # Intervals into which the memory of the greatest demand is divided.
 DEMAND_STEPS = 4
 # Units wanted as a multiple of the greatest recent demand, and in addition: demand of
 # few requests at a time varies by about its own size.
 DEMAND_FACTOR = 1.25
 DEMAND_EXTRA = 1
-# Part of an owner's room that one instance may use before it is divided.
-OPEN_SHARE = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -115,6 +115,7 @@
         self._in_use: Counter[str] = Counter()
         self._waiting: Counter[str] = Counter()
         self._held: Counter[str] = Counter()
+        self._doubted_until: dict[str, float] = {}
         self._demand: Counter[str] = Counter()
         self._peaks: dict[str, deque[tuple[float, int]]] = {}
 
@@ -170,7 +171,10 @@
             units = self.grant.units.get(upstream)
             if units is not None:
                 return own < units
-            return own < max(1, int(room * OPEN_SHARE)) and in_flight < room - 1
+            if now < self._doubted_until.get(upstream, float("-inf")):
+                return False
+            limit = max(1, room // self.grant.instances)
+            return own < limit and in_flight < room - 1
         return own < 1 and in_flight < room - 1
 
     def record_start(self, upstream: str, service: str, now: float) -> None:
@@ -189,6 +193,13 @@
         """Use one unit less, as the upstream has no room for it at the moment."""
         self._held[upstream] += 1
 
+    def doubt(self, upstream: str, now: float) -> None:
+        """Send nothing without a unit, since others may all begin to at this moment."""
+        self._doubted_until = {
+            name: until for name, until in self._doubted_until.items() if until > now
+        }
+        self._doubted_until[upstream] = now + DOUBT_S
+
     def end_hold(self, upstream: str) -> None:
         """Use it again."""
         self._held[upstream] -= 1
--- a/packages/router/plantaincart_router/direct/candidates.py
+++ b/packages/router/plantaincart_router/direct/candidates.py
@@ -229,7 +229,7 @@
         key = call.metadata.key
         if key is None:
             raise refuse(Reason.KEY_MISSING, "the service is divided by key", 0.0)
-        parked_at = monotonic()
+        parked_at, is_parked = monotonic(), False
         parked_until = parked_at + self._settings.send.park_s
         work_s = self._costs.estimate_work(call)
         self._view.record_key_load(call.service.name, key, work_s)
@@ -248,6 +248,9 @@
                 )
                 if self.is_backed_off(record):
                     raise self._rejections.refuse_backed_off(call, [record])
+                if is_parked:
+                    # Requests that waited for the key at other instances go out, too.
+                    self._view.room.share.doubt(record.id, monotonic())
                 self._check_reachable(call, record)
                 return record
             now = monotonic()
@@ -263,6 +266,7 @@
             is_too_late = expected_s is not None and expected_s > wait_s
             if is_too_late or wait_s <= 0.0 or call.caller.disconnected.is_set():
                 raise self._rejections.refuse_unowned(call, key, unowned_s, expected_s)
+            is_parked = True
             await self.wait_for_change(call, wait_s)
 
     def is_backed_off(self, record: UpstreamRecord) -> bool:
--- a/packages/router/plantaincart_router/direct/tests/test_sharedroom.py
+++ b/packages/router/plantaincart_router/direct/tests/test_sharedroom.py
@@ -159,7 +159,7 @@
             await wait_for(lambda: view.room.try_acquire(record, monotonic()), 8.0)
             view.room.record_waiting(record, -1)
             held[0] += 1
-            assert held[0] <= ROOM + 2
+            assert held[0] <= ROOM
             await sleep(0.05)
             held[0] -= 1
             served[0] += 1
