--- a/packages/core/plantaincart_core/roomshare.py
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -9,14 +9,14 @@
 
 __all__ = ["RoomGrant", "RoomShare", "list_fallback"]
 
+# Seconds in which the reports of all instances arrive.
+DOUBT_S = 0.3
 # Intervals into which the memory of the greatest demand is divided.
 DEMAND_STEPS = 4
 # Units wanted as a multiple of the greatest recent demand, and in addition: demand of
 # few requests at a time varies by about its own size.
 DEMAND_FACTOR = 1.25
 DEMAND_EXTRA = 1
-# Part of an owner's room that one instance may use before it is divided.
-OPEN_SHARE = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -114,6 +114,8 @@
         self.grant = RoomGrant()
         self._in_use: Counter[str] = Counter()
         self._waiting: Counter[str] = Counter()
+        self._held: Counter[str] = Counter()
+        self._doubted_until: dict[str, float] = {}
         self._demand: Counter[str] = Counter()
         self._peaks: dict[str, deque[tuple[float, int]]] = {}
 
@@ -136,15 +138,15 @@
         return now - self.grant.asked_at < self._settings.lease_s
 
     def count_in_use(self, upstream: str) -> int:
-        """Return this instance's requests at an upstream."""
-        return self._in_use[upstream]
+        """Return the units of an upstream that are used or not to be used now."""
+        return self._in_use[upstream] + self._held[upstream]
 
     def may_use(self, upstream: str, service: str, now: float) -> bool:
         """Return whether a unit of an upstream of a service without keys is free."""
         if not self.is_divided(service):
             return True
         units = self.grant.units.get(upstream, 0) if self.has_lease(now) else 0
-        return self._in_use[upstream] < units
+        return self.count_in_use(upstream) < units
 
     def may_use_owner(
         self, upstream: str, service: str, in_flight: float, now: float
@@ -164,12 +166,15 @@
         room = self.grant.rooms.get(service)
         if room is None:
             return True
-        own = self._in_use[upstream]
+        own = self.count_in_use(upstream)
         if self.has_lease(now):
             units = self.grant.units.get(upstream)
             if units is not None:
                 return own < units
-            return own < max(1, int(room * OPEN_SHARE)) and in_flight < room - 1
+            if now < self._doubted_until.get(upstream, float("-inf")):
+                return False
+            limit = max(1, room // self.grant.instances)
+            return own < limit and in_flight < room - 1
         return own < 1 and in_flight < room - 1
 
     def record_start(self, upstream: str, service: str, now: float) -> None:
@@ -184,6 +189,23 @@
             del self._in_use[upstream]
         self._record_demand(service, -1, now)
 
+    def hold(self, upstream: str) -> None:
+        """Use one unit less, as the upstream has no room for it at the moment."""
+        self._held[upstream] += 1
+
+    def doubt(self, upstream: str, now: float) -> None:
+        """Send nothing without a unit, since others may all begin to at this moment."""
+        self._doubted_until = {
+            name: until for name, until in self._doubted_until.items() if until > now
+        }
+        self._doubted_until[upstream] = now + DOUBT_S
+
+    def end_hold(self, upstream: str) -> None:
+        """Use it again."""
+        self._held[upstream] -= 1
+        if self._held[upstream] <= 0:
+            del self._held[upstream]
+
     def record_waiting(
         self, upstream: str, service: str, change: int, now: float
     ) -> None:
@@ -193,6 +215,11 @@
             del self._waiting[upstream]
         self._record_demand(service, change, now)
 
+    def record_shortage(self, service: str, now: float) -> None:
+        """Record that no unit of a service was of use for a request."""
+        self._record_demand(service, 1, now)
+        self._demand[service] -= 1
+
     def list_wants(self, now: float) -> dict[str, int]:
         """Return the units that this instance wants, by service."""
         wants = {}
@@ -215,7 +242,7 @@
         units = {}
         for name, count in self.grant.units.items():
             if name in keyed:
-                count = min(count, self._in_use[name] + self._waiting[name])
+                count = min(count, self.count_in_use(name) + self._waiting[name])
             units[name] = count
         self.grant = replace(self.grant, units=units)
 
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -7,8 +7,10 @@
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.room import RoomEstimate, find_reserve
-from plantaincart_core.roomledger import MemberRoom, RoomLedger, UpstreamRoom
+from plantaincart_core.roomaccount import MemberRoom, UpstreamRoom
+from plantaincart_core.roomledger import RoomLedger
 from plantaincart_core.roomshare import RoomGrant
+from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import CoordinatorNotice, MemberReport
 
 from plantaincart_router.direct.membership import Member, Membership
@@ -24,6 +26,9 @@
 # there; a single one may have been told so by mistake.
 MIN_BACKED_OFF = 2
 VERSION_BITS = 48
+# Seconds for each member between two messages to all that an owner has become scarce,
+# as a message to one takes the coordinator up to a millisecond.
+ANNOUNCE_INTERVAL_S_PER_MEMBER = 0.003
 
 
 class RoomFact(SharedFact):
@@ -38,15 +43,22 @@
         Announced upstreams.
     find_policy : callable
         Returns the settings of a service, or None.
+    loads : UpstreamLoads
+        Slowness of upstreams, as all instances have measured it.
     """
 
     # Units don't depend on the map of owners.
     needs_map = False
 
     def __init__(
-        self, room: SharedRoom, directory: UpstreamDirectory, find_policy: PolicyFinder
+        self,
+        room: SharedRoom,
+        directory: UpstreamDirectory,
+        find_policy: PolicyFinder,
+        loads: UpstreamLoads,
     ) -> None:
         self._room = room
+        self._loads = loads
         self._directory = directory
         self._find_policy = find_policy
 
@@ -81,7 +93,9 @@
 
     def open_term(self, members: Membership) -> FactTerm:
         """Return the coordinator's side, which continues what was divided before."""
-        return _RoomTerm(self._room, self._directory, self._find_policy, members)
+        return _RoomTerm(
+            self._room, self._directory, self._find_policy, self._loads, members
+        )
 
     def forget_upstream(self, record: UpstreamRecord, now: float) -> None:
         """Give up the units of a process that has ended."""
@@ -94,15 +108,18 @@
         room: SharedRoom,
         directory: UpstreamDirectory,
         find_policy: PolicyFinder,
+        loads: UpstreamLoads,
         members: Membership,
     ) -> None:
         self._room = room
         self._directory = directory
         self._find_policy = find_policy
+        self._loads = loads
         self._members = members
         self._estimates: dict[str, RoomEstimate] = {}
         self._divided: dict[str, int] = {}
         self._updated_at = float("-inf")
+        self._announced_at = float("-inf")
         now = monotonic()
         random = Random()
         grant = room.share.grant
@@ -118,14 +135,20 @@
 
     def record_report(self, member: Member, now: float) -> bool:
         report = member.report
-        for service, count in report.room_full.items():
-            if self._find_policy(service) is not None:
-                self._find_estimate(service).record_full(count, now)
+        for name, count in report.room_full.items():
+            record = self._directory.get(name)
+            if record is not None:
+                self._find_estimate(record.service).record_full(name, count, now)
         for service, per_slot in report.room_queues.items():
             if self._find_policy(service) is not None:
                 self._find_estimate(service).record_queue(per_slot)
         self._update_rooms(now)
-        return self._ledger.record_report(report.member, _read_room(report), now)
+        has_news = self._ledger.record_report(report.member, _read_room(report), now)
+        interval_s = ANNOUNCE_INTERVAL_S_PER_MEMBER * len(self._members)
+        if not has_news or now - self._announced_at < interval_s:
+            return False
+        self._announced_at = now
+        return True
 
     def retain(self, members: Iterable[str]) -> None:
         self._ledger.retain(members, monotonic())
@@ -184,6 +207,11 @@
                 ):
                     continue
                 units = self._limit(record, estimate.find_room(record.slots), now)
+                # What a slow upstream would hold for long is better elsewhere, or waits
+                # at the entry; an owner needs some that follow without a gap.
+                least = min(units, record.slots * (2 if policy.keyed else 1))
+                slowness = max(1.0, self._loads.get(record.id).slowness)
+                units = max(least, int(units / slowness))
                 reserve = find_reserve(len(self._members), len(records), units)
                 rooms[record.id] = UpstreamRoom(
                     service=service,
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -1,7 +1,9 @@
 """A single attempt at an upstream, and the evaluation of its answer."""
 
+from asyncio import CancelledError
 from time import monotonic
 
+from plantaincart_core.admission import LatencyEstimate
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.verdict import Reason
 
@@ -23,6 +25,12 @@
 
 __all__ = ["UpstreamSender"]
 
+# Seconds for which a unit isn't used again after an upstream turned a request away: the
+# time in which it finishes some.
+FULL_HOLD_S = 0.25
+# Longest time in seconds after a request that wasn't answered.
+MAX_HOLD_S = 1.0
+
 
 class UpstreamSender:
     """
@@ -92,10 +100,32 @@
         """
         if call.caller.disconnected.is_set() and not call.sent:
             raise refuse(Reason.TIMEOUT, "the caller has gone", 0.0, 503)
+        expected = self._costs.estimate(call, record)
+        unanswered_s = min(expected.wait_s + expected.work_s, MAX_HOLD_S)
+        room = self._view.room
+        try:
+            return await self._send(call, record, expected, progress)
+        except NotRunError as error:
+            if error.was_received and error.at_capacity and not error.misdirected:
+                room.hold(record, FULL_HOLD_S)
+            raise
+        except LostError as error:
+            room.hold(record, unanswered_s if error.timed_out else FULL_HOLD_S)
+            raise
+        except CancelledError:
+            room.hold(record, unanswered_s)
+            raise
+
+    async def _send(
+        self,
+        call: Call,
+        record: UpstreamRecord,
+        expected: LatencyEstimate,
+        progress: AttemptProgress | None,
+    ) -> HttpAnswer:
         loads = self._view.loads
         load = loads.get(record.id)
         in_progress = load.estimate_in_flight(monotonic(), loads.settings)
-        expected = self._costs.estimate(call, record)
         load.in_flight += 1
         call.upstream = record.id
         sent_at = monotonic()
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -11,7 +11,9 @@
 from plantaincart_core.traffic import ServicePolicy
 from plantaincart_core.upstreamload import UpstreamLoads
 
+from plantaincart_router.direct.backoff import UpstreamBackoffs
 from plantaincart_router.direct.capacity import CapacitySource
+from plantaincart_router.direct.connectfailures import ConnectFailures
 from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.silencelistener import SilenceListener
 from plantaincart_router.log import write_event
@@ -49,6 +51,10 @@
         Requests of all instances.
     find_policy : callable
         Returns the settings of a service, or None.
+    backoffs : UpstreamBackoffs
+        Upstreams that want a pause; units there are of no use.
+    connect_failures : ConnectFailures
+        Upstreams to which connecting failed; units there are of no use.
     sources : sequence of CapacitySource
         Further limits of the room, which the coordinator applies.
 
@@ -60,8 +66,6 @@
         Units of this instance.
     ask : callable
         Reports to the coordinator soon.
-    is_avoided : callable
-        Returns whether this instance can't send to an upstream at the moment.
 
     Notes
     -----
@@ -75,6 +79,8 @@
         directory: UpstreamDirectory,
         loads: UpstreamLoads,
         find_policy: PolicyFinder,
+        backoffs: UpstreamBackoffs,
+        connect_failures: ConnectFailures,
         sources: Sequence[CapacitySource] = (),
     ) -> None:
         self.settings = settings
@@ -89,7 +95,10 @@
         self._queues: dict[str, float] = {}
         self._fallback: dict[str, tuple[float, list[str]]] = {}
         self._timer: TimerHandle | None = None
-        self.is_avoided: Callable[[UpstreamRecord, float], bool] = _avoid_none
+        self._gave_back_at = float("-inf")
+        self._asked_short_at = float("-inf")
+        self._backoffs = backoffs
+        self._connect_failures = connect_failures
 
     def try_acquire(self, record: UpstreamRecord, now: float) -> bool:
         """Take a unit of room at an upstream, if there is one."""
@@ -104,10 +113,32 @@
         self._listener()
         share = self.share
         is_unused = share.count_in_use(record.id) < share.grant.units.get(record.id, 0)
-        if is_unused and self._is_keyed(record.service):
+        now = monotonic()
+        is_due = now - self._gave_back_at > self._choose_interval_s()
+        if is_unused and is_due and self._is_keyed(record.service):
             # Others may wait for the unit, which is reported as given back.
+            self._gave_back_at = now
             self.ask()
 
+    def hold(self, record: UpstreamRecord, hold_s: float) -> None:
+        """
+        Use one unit less for a time, since an upstream has no room for it.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            Process that turned a request away, or may still hold one that has ended.
+        hold_s : float
+            Seconds.
+        """
+        if self.share.is_divided(record.service):
+            self.share.hold(record.id)
+            get_running_loop().call_later(hold_s, self._end_hold, record)
+
+    def _end_hold(self, record: UpstreamRecord) -> None:
+        self.share.end_hold(record.id)
+        self._listener()
+
     def has_room(self, record: UpstreamRecord, now: float) -> bool:
         """Return whether `try_acquire` would succeed."""
         share, service = self.share, record.service
@@ -139,6 +170,15 @@
             self.ask()
             self._ask_again()
 
+    def record_shortage(self, service: str) -> None:
+        """Ask for further units, since those at hand are at busy upstreams."""
+        now = monotonic()
+        if self.share.is_divided(service):
+            self.share.record_shortage(service, now)
+            if now - self._asked_short_at > self._choose_interval_s():
+                self._asked_short_at = now
+                self.ask()
+
     def record_load(self, record: UpstreamRecord, waiting: int) -> None:
         """Record how many waiting requests an upstream states that it holds."""
         per_slot = waiting / max(1, record.slots)
@@ -147,7 +187,7 @@
 
     def record_full(self, record: UpstreamRecord) -> None:
         """Record that an upstream that was full turned a request away."""
-        self._full[record.service] += 1
+        self._full[record.id] += 1
         write_event(
             "upstream_full",
             upstream=record.id,
@@ -172,12 +212,12 @@
         avoided = [
             record.id
             for record in self._directory
-            if self.share.is_divided(record.service) and self.is_avoided(record, now)
+            if self.share.is_divided(record.service) and self._is_avoided(record, now)
         ]
         return avoided[:MAX_AVOIDED]
 
     def pop_full(self) -> dict[str, int]:
-        """Return the requests turned away since the last call, by service."""
+        """Return the requests turned away since the last call, by upstream."""
         full, self._full = self._full, Counter()
         return dict(full)
 
@@ -199,6 +239,11 @@
         """Give up the units of a process that has ended."""
         self.share.forget(record.id)
 
+    def _is_avoided(self, record: UpstreamRecord, now: float) -> bool:
+        if self._backoffs.remaining_s(record, now) > 0.0:
+            return True
+        return self._connect_failures.retry_delay_s(record, now) > 0.0
+
     def _is_keyed(self, service: str) -> bool:
         policy = self._find_policy(service)
         return policy is not None and policy.keyed
@@ -218,12 +263,13 @@
         """Ask for as long as requests wait."""
         if self._timer is not None:
             return
-        interval_s = max(
-            MIN_ASK_INTERVAL_S,
-            self.share.grant.instances * ASK_INTERVAL_S_PER_INSTANCE,
-        )
+        interval_s = self._choose_interval_s()
         self._timer = get_running_loop().call_later(interval_s, self._handle_timer)
 
+    def _choose_interval_s(self) -> float:
+        instances = self.share.grant.instances
+        return max(MIN_ASK_INTERVAL_S, instances * ASK_INTERVAL_S_PER_INSTANCE)
+
     def _handle_timer(self) -> None:
         self._timer = None
         if self.share.list_waiting():
@@ -233,7 +279,3 @@
 
 def _ignore() -> None:
     pass
-
-
-def _avoid_none(record: UpstreamRecord, now: float) -> bool:
-    return False
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -141,11 +141,15 @@
         self.account_fact = AccountFact(settings)
         self.rank_fact = RankFact(self.loads, self.directory)
         self.room = SharedRoom(
-            settings.room, self.directory, self.loads, self.find_policy
+            settings.room,
+            self.directory,
+            self.loads,
+            self.find_policy,
+            self.backoffs,
+            pools.connect_failures,
         )
         # Waiting for a permit and for room are reported in the same way.
         self.room.ask = lambda: self.quotas.on_wait()
-        self.room.is_avoided = self._is_avoided
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             self.silence_fact,
@@ -154,7 +158,7 @@
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
             self.account_fact,
-            RoomFact(self.room, self.directory, self.find_policy),
+            RoomFact(self.room, self.directory, self.find_policy, self.loads),
             SpeedFact(self.speeds, self.directory),
             PaceFact(self.paces, pace_settings, self.directory, self.loads),
         )
@@ -370,12 +374,6 @@
         refused_keys, self._refused_keys = self._refused_keys, []
         return refused_keys
 
-    def _is_avoided(self, record: UpstreamRecord, now: float) -> bool:
-        """Whether an upstream wants a pause, or connecting to it has just failed."""
-        if self.backoffs.remaining_s(record, now) > 0.0:
-            return True
-        return self._pools.connect_failures.retry_delay_s(record, now) > 0.0
-
     def _replace_upstreams(
         self, view: TableRows, known_until: float, is_restored: bool
     ) -> list[str]:
