--- /dev/null
+++ b/packages/router/plantaincart_router/direct/tests/test_room_wait.py
@@ -0,0 +1,138 @@
+"""Requests through the gateway while upstreams have no room."""
+
+from asyncio import create_task, gather, sleep
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from time import monotonic
+
+import pytest
+from plantaincart_core.ownermap import KeyRange
+from plantaincart_core.rank import Rank
+from plantaincart_core.waitingorder import QueueBounds
+from plantaincart_router.direct.entryqueue import EntryQueue
+from plantaincart_router.direct.tests.fakes import make_notice, make_plan
+from plantaincart_router.direct.tests.test_entryqueue import FakeGate
+from plantaincart_router.direct.tests.test_gateway import (
+    Upstream,
+    answer,
+    call_gateway,
+    not_run,
+    run_gateway,
+    verdict,
+)
+from plantaincart_router.http.message import find_header
+from plantaincart_schema.generated.direct import RankShare
+
+MAX_REFUSAL_S = 0.1
+
+
+@asynccontextmanager
+async def run_gated(gate, *upstreams, plan=None):
+    async with run_gateway(*upstreams, plan=plan) as (gateway, view):
+        selector = gateway._selector
+        gateway._gate = selector._gate = gate
+        selector._queue = EntryQueue(gate, QueueBounds())
+        yield gateway, view
+
+
+async def test_request_waits_for_room_and_gives_it_back():
+    gate = FakeGate()
+    upstream = Upstream()
+    async with run_gated(gate, upstream) as (gateway, _):
+        task = create_task(call_gateway(gateway))
+        await sleep(0.2)
+        assert upstream.requests == []
+        gate.add("u0")
+        assert (await task).status == 200
+    assert gate.room == {"u0": 1}
+
+
+async def test_request_for_which_no_room_is_expected_is_refused_at_once():
+    """Three times the room is asked for (pattern burst)."""
+    gate = FakeGate()
+    gate.wait_s = 3.0
+    upstream = Upstream()
+    async with run_gated(gate, upstream) as (gateway, _):
+        started_at = monotonic()
+        response = await call_gateway(gateway)
+        assert monotonic() - started_at < MAX_REFUSAL_S
+    assert (response.status, verdict(response)) == (503, "not-run")
+    assert upstream.requests == []
+
+
+async def test_request_that_can_not_be_served_any_more_leaves_with_a_return():
+    gate = FakeGate()
+    async with run_gated(gate, Upstream()) as (gateway, _):
+        response = await call_gateway(gateway, remaining_s=0.4)
+    assert (response.status, verdict(response)) == (503, "not-run")
+    assert float(find_header(response.headers, "retry-after")) >= 0.1
+    assert gate.waiting == {"u0": 0}
+
+
+async def test_request_takes_an_upstream_with_room():
+    gate = FakeGate(u1=10)
+    full, free = Upstream(), Upstream()
+    async with run_gated(gate, full, free) as (gateway, _):
+        responses = await gather(
+            *(call_gateway(gateway, request_id=f"r{at}") for at in range(8))
+        )
+    assert {response.status for response in responses} == {200}
+    assert (len(full.requests), len(free.requests)) == (0, 8)
+    assert gate.room == {"u1": 10}
+
+
+async def test_retry_waits_for_room_too():
+    """Upstreams reject part of what they get (pattern srv_grey)."""
+    gate = FakeGate(u0=1)
+    upstreams = Upstream(not_run()), Upstream(not_run())
+    async with run_gated(gate, *upstreams) as (gateway, _):
+        task = create_task(call_gateway(gateway))
+        await sleep(0.1)
+        assert not task.done()
+        assert gate.room == {"u0": 1}
+        gate.add("u1")
+        await task
+    assert gate.room == {"u0": 1, "u1": 1}
+    assert [len(upstream.requests) for upstream in upstreams] == [1, 1]
+
+
+async def test_waiting_request_follows_its_key():
+    """The key moves while the request waits for its owner's room (pattern hot_key)."""
+    gate = FakeGate(u1=1)
+    old, new = Upstream(), Upstream()
+    plan = make_plan(timeout_s=2.0)
+    async with run_gated(gate, old, new, plan=plan) as (gateway, view):
+        task = create_task(call_gateway(gateway, remaining_s=2.0))
+        await sleep(0.05)
+        moved = KeyRange(first=0, last=99, owner="u1", born=1, fence=2)
+        view.owners["ledger"].assign(moved)
+        assert (await task).status == 200
+    assert (len(old.requests), len(new.requests)) == (0, 1)
+
+
+@pytest.mark.parametrize("priority", [1, 2])
+async def test_cut_refuses_its_share_at_once(priority):
+    """A rank is admitted by half while its service is short (pattern burst)."""
+    upstream = Upstream(*[answer()] * 20)
+    plan = make_plan(keyed=False)
+    plan = replace(plan, routes=(replace(plan.routes[0], priority=priority),))
+    async with run_gateway(upstream, plan=plan) as (gateway, view):
+        share = RankShare(service="ledger", account=0, route=1, share=0.5)
+        notice = make_notice(rank_shares=[share], watch_ranks=True)
+        view.rank_fact.apply(notice, monotonic())
+        responses = [
+            await call_gateway(gateway, request_id=f"r{at}") for at in range(20)
+        ]
+        delays = [
+            float(find_header(response.headers, "retry-after"))
+            for response in responses
+            if response.status == 503
+        ]
+        (report,) = view.rank_fact.describe(monotonic(), False)["ranks"]
+    expected = 10 if priority == 1 else 0
+    assert len(delays) == expected == report.cut
+    assert (report.asked, report.served) == (20, 20 - expected)
+    assert Rank(report.account, report.route) == Rank(0, priority)
+    # Callers return spread over a third of the second that they have left.
+    assert all(0.1 <= delay <= 0.34 for delay in delays)
+    assert len({round(delay, 2) for delay in delays}) >= 0.8 * expected
