--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -19,6 +19,7 @@
 from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
+from plantaincart_router.log import write_event
 
 __all__ = ["UpstreamSelector"]
 
@@ -150,10 +151,7 @@
             taken = await self._queue.wait(call, records, latest_at, until)
             if taken is not None:
                 if self._may_still_send(call, taken):
-                    waited_s = monotonic() - started_at
-                    self._metrics.observe(
-                        "entry_wait_seconds", waited_s, call.service.name
-                    )
+                    self._record_wait(call, taken, monotonic() - started_at)
                     return taken
                 self._gate.release(taken)
             elif monotonic() < until:
@@ -165,6 +163,17 @@
                 record, others = await self._find_candidates(call)
         return record
 
+    def _record_wait(self, call: Call, record: UpstreamRecord, waited_s: float) -> None:
+        self._metrics.observe("entry_wait_seconds", waited_s, call.service.name)
+        write_event(
+            "request_waited",
+            request=call.metadata.request_id,
+            upstream=record.id,
+            ms=round(waited_s * 1000.0),
+            rank=f"{call.rank.account}/{call.rank.route}",
+            waiting=len(self._queue),
+        )
+
     def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
         """Whether an upstream found before a wait for room may get the request."""
         view = self._view
