--- a/packages/core/plantaincart_core/waitingorder.py
+++ b/packages/core/plantaincart_core/waitingorder.py
@@ -1,12 +1,18 @@
 """Order of requests that wait for room, bounded in number and bytes."""
 
 from bisect import bisect_left, insort
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from plantaincart_core.rank import Rank
 
-__all__ = ["QueueBounds", "Waiting", "WaitingOrder"]
+__all__ = ["HandOutRate", "QueueBounds", "Waiting", "WaitingOrder"]
+
+# Seconds over which units that were handed out are counted, and for which requests must
+# have waited before their number says something.
+RATE_WINDOW_S = 1.0
+MIN_OBSERVED_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -122,6 +128,62 @@
             return True
         return False
 
-    def count_before(self, waiting: Waiting) -> int:
-        """Return how many requests go before one that may not be added yet."""
-        return bisect_left(self._waiting, waiting)
+    def list_before(self, waiting: Waiting) -> list[Waiting]:
+        """Return the requests that go before one that may not be added yet."""
+        return self._waiting[: bisect_left(self._waiting, waiting)]
+
+
+class HandOutRate:
+    """
+    Estimates how long a request waits by how fast others got room lately.
+
+    Examples
+    --------
+    >>> rate = HandOutRate()
+    >>> rate.record_start(0.0)
+    >>> for at in range(10):
+    ...     rate.record_hand_out(0.05 * at)
+    >>> rate.estimate_wait_s(3, now=0.5)
+    0.2
+    >>> rate.estimate_wait_s(0, now=3.0)
+    1.0
+    """
+
+    def __init__(self) -> None:
+        self._since = 0.0
+        self._hand_outs: deque[float] = deque()
+
+    def record_start(self, now: float) -> None:
+        """Record that the first request begins to wait."""
+        self._since = now
+        self._hand_outs.clear()
+
+    def record_hand_out(self, now: float) -> None:
+        """Record that a waiting request got room."""
+        self._hand_outs.append(now)
+
+    def estimate_wait_s(self, ahead: int, now: float) -> float:
+        """
+        Return the expected wait.
+
+        Parameters
+        ----------
+        ahead : int
+            Waiting requests that get room before.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Seconds; 0 while too little is known. If nobody got room, the wait is taken
+            to last as long again.
+        """
+        observed_s = min(now - self._since, RATE_WINDOW_S)
+        if observed_s < MIN_OBSERVED_S:
+            return 0.0
+        while self._hand_outs and self._hand_outs[0] < now - RATE_WINDOW_S:
+            self._hand_outs.popleft()
+        if not self._hand_outs:
+            return observed_s
+        return (ahead + 1) * observed_s / len(self._hand_outs)
--- a/packages/router/plantaincart_router/direct/entryqueue.py
+++ b/packages/router/plantaincart_router/direct/entryqueue.py
@@ -3,12 +3,17 @@
 from asyncio import Future, get_running_loop, timeout_at
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import count
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
-from plantaincart_core.waitingorder import QueueBounds, Waiting, WaitingOrder
+from plantaincart_core.waitingorder import (
+    HandOutRate,
+    QueueBounds,
+    Waiting,
+    WaitingOrder,
+)
 
 from plantaincart_router.direct.call import Call
 from plantaincart_router.direct.roomgate import RoomGate
@@ -31,6 +36,15 @@
     call: Call
     records: dict[Process, UpstreamRecord]
     future: Future[UpstreamRecord | None]
+    lane: str
+
+
+@dataclass(slots=True)
+class _Lane:
+    """Requests that wait for the same room: of one owner, or of one service."""
+
+    rate: HandOutRate = field(default_factory=HandOutRate)
+    waiting: int = 0
 
 
 class EntryQueue:
@@ -65,6 +79,7 @@
         self._entries: dict[Waiting, _Entry] = {}
         self._wanted: Counter[Process] = Counter()
         self._records: dict[Process, UpstreamRecord] = {}
+        self._lanes: dict[str, _Lane] = {}
         self._numbers = count()
         self._is_scheduled = False
         gate.set_listener(self._schedule)
@@ -78,9 +93,35 @@
             self._hand_out()
         return self._gate.try_acquire(record, monotonic())
 
-    def count_before(self, call: Call, latest_at: float) -> int:
-        """Return how many waiting requests would go before a new one."""
-        return self._order.count_before(self._describe(call, latest_at))
+    def estimate_wait_s(
+        self, call: Call, records: Sequence[UpstreamRecord], latest_at: float
+    ) -> float:
+        """
+        Estimate how long a request would wait.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        records : sequence of UpstreamRecord
+            Upstreams that may run it; at least one.
+        latest_at : float
+            Latest time in seconds at which it can still be served.
+
+        Returns
+        -------
+        float
+            Seconds; at least what the room at the upstreams itself lets expect.
+        """
+        now = monotonic()
+        wait_s = min(self._gate.estimate_wait_s(record, now) for record in records)
+        name = _name_lane(call, records)
+        lane = self._lanes.get(name)
+        if lane is None:
+            return wait_s
+        before = self._order.list_before(self._describe(call, latest_at))
+        ahead = sum(self._entries[waiting].lane == name for waiting in before)
+        return max(wait_s, lane.rate.estimate_wait_s(ahead, now))
 
     async def wait(
         self,
@@ -112,7 +153,8 @@
         loop = get_running_loop()
         waiting = self._describe(call, latest_at)
         by_process = {(record.id, record.born): record for record in records}
-        entry = _Entry(call, by_process, loop.create_future())
+        lane = _name_lane(call, records)
+        entry = _Entry(call, by_process, loop.create_future(), lane)
         self._add(waiting, entry)
         if not call.route.idempotent:
             # Requests that may be repeated are cancelled when their caller leaves.
@@ -142,6 +184,11 @@
 
     def _add(self, waiting: Waiting, entry: _Entry) -> None:
         self._entries[waiting] = entry
+        lane = self._lanes.get(entry.lane)
+        if lane is None:
+            lane = self._lanes[entry.lane] = _Lane()
+            lane.rate.record_start(monotonic())
+        lane.waiting += 1
         self._wanted.update(entry.records.keys())
         self._records.update(entry.records)
         for displaced in self._order.add(waiting):
@@ -153,6 +200,10 @@
         entry = self._entries.pop(waiting, None)
         if entry is None:
             return
+        lane = self._lanes[entry.lane]
+        lane.waiting -= 1
+        if not lane.waiting:
+            del self._lanes[entry.lane]
         for process in entry.records:
             self._wanted[process] -= 1
             if not self._wanted[process]:
@@ -190,6 +241,7 @@
                     continue
                 if self._gate.try_acquire(record, now):
                     entry.future.set_result(record)
+                    self._lanes[entry.lane].rate.record_hand_out(now)
                     self._discard(waiting)
                     break
                 open_processes.discard(process)
@@ -201,6 +253,10 @@
         return entry.future.result() if done else None
 
 
+def _name_lane(call: Call, records: Sequence[UpstreamRecord]) -> str:
+    return records[0].id if call.service.keyed else call.service.name
+
+
 def _set(future: Future[UpstreamRecord | None], value: UpstreamRecord | None) -> None:
     if not future.done():
         future.set_result(value)
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -142,7 +142,7 @@
             now = monotonic()
             latest_at = self._admission.find_latest(call, record, now)
             records = (record, *others)
-            waiting_s = min(self._gate.estimate_wait_s(item, now) for item in records)
+            waiting_s = self._queue.estimate_wait_s(call, records, latest_at)
             until = min(latest_at, now + RECHECK_S)
             if now + waiting_s > latest_at or call.caller.disconnected.is_set():
                 raise self._rejections.refuse_full(
--- a/packages/router/plantaincart_router/direct/tests/test_entryqueue.py
+++ b/packages/router/plantaincart_router/direct/tests/test_entryqueue.py
@@ -207,3 +207,27 @@
     assert len(queue) == 2
     gate.add("u1", 4)
     assert sum(item is not None for item in await gather(*tasks)) == 2
+
+
+async def test_wait_is_estimated_by_how_fast_others_get_room():
+    """Three times the room is asked for (pattern burst)."""
+    gate = FakeGate()
+    queue = make_queue(gate)
+    latest_at = monotonic() + 5.0
+    tasks = [start_wait(queue, make_call(), left_s=5.0) for _ in range(40)]
+    for _ in range(10):
+        await sleep(0.02)
+        gate.add("u1")
+    await sleep(0.01)
+    # 30 are left, some 50 leave the queue in a second.
+    low = queue.estimate_wait_s(make_call(priority=2), (U1,), latest_at)
+    urgent = queue.estimate_wait_s(make_call(priority=0), (U1,), latest_at)
+    elsewhere = queue.estimate_wait_s(make_call(priority=2), (U2,), latest_at)
+    assert 0.4 <= low <= 1.2
+    assert urgent <= 0.1
+    for task in tasks:
+        task.cancel()
+    await gather(*tasks, return_exceptions=True)
+    assert queue.estimate_wait_s(make_call(), (U1,), latest_at) == 0.0
+    # Requests without a key wait for the room of their whole service.
+    assert elsewhere == pytest.approx(low, rel=0.1)
