Cut nobody for an idle rank, and prefer callers that return in the retry budget

A service with requests of one rank is no longer cut. Rejections by upstreams with free slots return callers in time.

--- a/packages/core/plantaincart_core/rankcut.py
+++ b/packages/core/plantaincart_core/rankcut.py
@@ -25,6 +25,9 @@
 # a second.
 MIN_GROWTH = 0.03
 MAX_GROWTH = 0.5
+# Least share of the requests that must be more urgent than the least urgent ones for a
+# cut: among requests of one rank, the upstreams' own loads decide better.
+MIN_URGENT_SHARE = 0.01
 # Share of its requests that each rank gets at least, relative to that of all ranks.
 FLOOR_SHARE = 0.3
 # Sums of shares such as 0.1 fall short of 1 by rounding.
@@ -100,11 +103,14 @@
     floor = FLOOR_SHARE * room_per_s / total_per_s
     left_per_s = room_per_s - floor * total_per_s
     shares = {}
+    share = 1.0
     for rank in sorted(asked_per_s):
         wanted_per_s = asked_per_s[rank] * (1.0 - floor)
-        given_per_s = min(left_per_s, wanted_per_s)
-        left_per_s -= given_per_s
-        shares[rank] = min(1.0, floor + given_per_s / max(asked_per_s[rank], 1e-9))
+        if wanted_per_s > left_per_s:
+            share = min(share, floor + left_per_s / asked_per_s[rank])
+        left_per_s = max(0.0, left_per_s - wanted_per_s)
+        # A rank without requests gets no more than those before it.
+        shares[rank] = share
     return shares
 
 
@@ -175,10 +181,20 @@
         self._step_at = now
         self._is_first = False
         self.shares = {}
-        if self._room_per_s is not None:
+        if self._room_per_s is not None and self._has_urgent():
             self.shares = divide_room(self._room_per_s, self._asked_per_s)
         return True
 
+    def _has_urgent(self) -> bool:
+        """Whether some of the requests are more urgent than others."""
+        total_per_s = sum(self._asked_per_s.values())
+        asking = [
+            rank
+            for rank, per_s in self._asked_per_s.items()
+            if per_s >= MIN_URGENT_SHARE * total_per_s
+        ]
+        return len(asking) > 1
+
     def _update_rates(self, total: RankCount, elapsed_s: float) -> None:
         weight = 1.0 if self._is_first else RATE_WEIGHT
         for rank in self._counts.keys() | self._asked_per_s.keys():
--- a/packages/core/plantaincart_core/tests/test_rankcut.py
+++ b/packages/core/plantaincart_core/tests/test_rankcut.py
@@ -4,7 +4,13 @@
 
 import pytest
 from plantaincart_core.rank import Rank
-from plantaincart_core.rankcut import STEP_S, RankCount, RankCut, ShareCounter
+from plantaincart_core.rankcut import (
+    STEP_S,
+    RankCount,
+    RankCut,
+    ShareCounter,
+    divide_room,
+)
 
 HIGH, MIDDLE, LOW = Rank(0, 0), Rank(0, 1), Rank(0, 2)
 ROOM_PER_S = 400.0
@@ -107,6 +113,22 @@
     assert all(step[LOW] >= 0.5 for step in steps)
 
 
+def test_urgent_rank_without_requests_is_admitted():
+    """A route stops to use the service for a moment, and comes back."""
+    asked = {HIGH: 0.0, MIDDLE: 100.0, LOW: 400.0}
+    shares = divide_room(250.0, asked)
+    assert (shares[HIGH], shares[MIDDLE]) == (1.0, 1.0)
+    shares = divide_room(250.0, {HIGH: 400.0, MIDDLE: 100.0, LOW: 0.0})
+    assert shares[HIGH] > shares[MIDDLE] == shares[LOW]
+
+
+def test_requests_of_one_rank_are_not_cut():
+    """Nobody more urgent would get the room (pattern burst)."""
+    service = Service()
+    service.play(2.0, {LOW: 700.0})
+    assert service.cut.shares == {}
+
+
 def test_requests_turned_away_beside_free_slots_start_no_cut():
     """One key gets a third of the traffic; its owner is full (pattern hot_key)."""
     cut = RankCut()
--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -47,6 +47,8 @@
         Upstream to which it was sent last; empty before the first attempt.
     account_priority : int
         Priority of the caller's account; 0 without one.
+    is_returning : bool
+        Whether its caller has probably been turned away before.
     admitted : bool
         Whether all entry policies have let it pass.
     """
@@ -65,6 +67,7 @@
     excluded_upstreams: set[str] = field(default_factory=set)
     upstream: str = ""
     account_priority: int = 0
+    is_returning: bool = False
     admitted: bool = False
 
     @property
@@ -78,11 +81,14 @@
         Rank of the request among those that need retries.
 
         One that isn't idempotent goes before others of its account: its caller can't
-        repeat it once it may have run.
+        repeat it once it may have run. Among the others of a route, those that return
+        go first: most callers come back only once.
         """
-        if self.route.idempotent:
-            return self.rank
-        return Rank(self.account_priority, min(0, self.route.priority))
+        if not self.route.idempotent:
+            return Rank(self.account_priority, -1)
+        return Rank(
+            self.account_priority, 2 * self.route.priority + 1 - self.is_returning
+        )
 
     @property
     def remaining_s(self) -> float:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.returning import ReturnDetector
 from plantaincart_core.traffic import pick_service
 from plantaincart_core.verdict import (
     Reason,
@@ -98,6 +99,7 @@
         self._random = Random()
         self._started_at = monotonic()
         self._budgets: dict[str, WindowRetryBudget] = {}
+        self._returns = ReturnDetector()
         cold_limiter = ColdUpstreamLimiter(settings.bounds)
         direct = DirectTransport(pools, header_codec, settings.send, view)
         relayed = RelayTransport(
@@ -229,6 +231,9 @@
             task = current_task()
             if task is not None:
                 call.caller.set_disconnect_callback(lambda: _cancel(task))
+        call.is_returning = self._returns.is_returning(
+            call.route.name, call.metadata.remaining_s
+        )
         budget = self._find_budget(call.service.name)
         budget.record_request(call.started_at, call.retry_rank)
         self._check_quarantine(call)
@@ -339,6 +344,10 @@
         elif self._may_retry(call):
             call.excluded_upstreams.add(record.id)
             return
+        if not error.at_capacity:
+            # Most others may accept it at once.
+            work_s = self._costs.estimate_work(call)
+            raise self._rejections.refuse_short(call, str(error), 0.0, work_s)
         raise self._rejections.refuse_unserved(call, Reason.QUEUE_FULL, str(error), 0.3)
 
     def _may_retry(self, call: Call) -> bool:
