Let waiting requests take the cheapest of the upstreams that get room

They took the first one in the order of the directory, whatever its speed and data centre, so that those of all instances met at the same upstreams.

--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -141,7 +141,7 @@
         while not self._queue.try_take(record):
             now = monotonic()
             latest_at = self._admission.find_latest(call, record, now)
-            records = (record, *others)
+            records = (record, *self._sort_by_cost(call, others))
             waiting_s = self._queue.estimate_wait_s(call, records, latest_at)
             until = min(latest_at, now + RECHECK_S)
             if now + waiting_s > latest_at or call.caller.disconnected.is_set():
@@ -207,6 +207,20 @@
         self._admission.admit(call, record)
         return record, []
 
+    def _sort_by_cost(
+        self, call: Call, records: Iterable[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return upstreams in the order in which a waiting request takes room."""
+
+        def estimate_cost(record: UpstreamRecord) -> float:
+            expected = self._costs.estimate(call, record)
+            cost = expected.wait_s + expected.work_s
+            if record.data_centre == self._settings.data_centre:
+                return cost
+            return cost * self._settings.choice.remote_cost_factor
+
+        return sorted(records, key=estimate_cost)
+
     def _list_with_room(
         self, candidates: Iterable[UpstreamRecord]
     ) -> list[UpstreamRecord]:
--- a/packages/router/plantaincart_router/direct/tests/test_room_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_room_wait.py
@@ -81,6 +81,26 @@
     assert gate.room == {"u1": 10}
 
 
+async def test_waiting_request_takes_the_cheapest_of_those_that_get_room():
+    """Some upstreams are slow or far (demand moves between data centres)."""
+    gate = FakeGate()
+    upstreams = Upstream(), Upstream(), Upstream()
+    async with run_gated(gate, *upstreams) as (gateway, view):
+        tasks = []
+        for at in range(6):
+            # The last upstream is the fastest one, and stays full.
+            for number, slowness in enumerate((4.0, 2.0, 1.0)):
+                view.loads.get(f"u{number}").slowness = slowness
+            task = create_task(call_gateway(gateway, request_id=f"r{at}"))
+            await sleep(0.02)
+            gate.room = {"u0": 1, "u1": 1}
+            gate.add("u2", 0)
+            tasks.append(await task)
+            gate.room.clear()
+    assert {response.status for response in tasks} == {200}
+    assert [len(upstream.requests) for upstream in upstreams] == [0, 6, 0]
+
+
 async def test_retry_waits_for_room_too():
     """Upstreams reject part of what they get (pattern srv_grey)."""
     gate = FakeGate(u0=1)
