--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -54,6 +54,8 @@
         The caller's account; None without one.
     has_token : bool
         Whether it has taken a token of the account's quota.
+    is_returning : bool
+        Whether its caller has probably been turned away before.
     admitted : bool
         Whether all entry policies have let it pass.
     """
@@ -75,6 +77,7 @@
     account_priority: int = 0
     account: ClientAccount | None = None
     has_token: bool = False
+    is_returning: bool = False
     admitted: bool = False
 
     @property
@@ -88,11 +91,14 @@
         Rank of the request among those that need retries.
 
         One that isn't idempotent goes before others of its account: its caller can't
-        repeat it once it may have run.
+        repeat it once it may have run. Among the others of a route, those that return
+        go first: most callers come back only once.
         """
-        if self.route.idempotent:
-            return self.rank
-        return Rank(self.account_priority, min(0, self.route.priority))
+        if not self.route.idempotent:
+            return Rank(self.account_priority, -1)
+        return Rank(
+            self.account_priority, 2 * self.route.priority + 1 - self.is_returning
+        )
 
     @property
     def remaining_s(self) -> float:
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -19,6 +19,7 @@
 from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
+from plantaincart_router.log import write_event
 
 __all__ = ["UpstreamSelector"]
 
@@ -140,8 +141,8 @@
         while not self._queue.try_take(record):
             now = monotonic()
             latest_at = self._admission.find_latest(call, record, now)
-            records = (record, *others)
-            waiting_s = min(self._gate.estimate_wait_s(item, now) for item in records)
+            records = (record, *self._sort_by_cost(call, others))
+            waiting_s = self._queue.estimate_wait_s(call, records, latest_at)
             until = min(latest_at, now + RECHECK_S)
             if now + waiting_s > latest_at or call.caller.disconnected.is_set():
                 raise self._rejections.refuse_full(
@@ -150,10 +151,7 @@
             taken = await self._queue.wait(call, records, latest_at, until)
             if taken is not None:
                 if self._may_still_send(call, taken):
-                    waited_s = monotonic() - started_at
-                    self._metrics.observe(
-                        "entry_wait_seconds", waited_s, call.service.name
-                    )
+                    self._record_wait(call, taken, monotonic() - started_at)
                     return taken
                 self._gate.release(taken)
             elif monotonic() < until:
@@ -165,6 +163,17 @@
                 record, others = await self._find_candidates(call)
         return record
 
+    def _record_wait(self, call: Call, record: UpstreamRecord, waited_s: float) -> None:
+        self._metrics.observe("entry_wait_seconds", waited_s, call.service.name)
+        write_event(
+            "request_waited",
+            request=call.metadata.request_id,
+            upstream=record.id,
+            ms=round(waited_s * 1000.0),
+            rank=f"{call.rank.account}/{call.rank.route}",
+            waiting=len(self._queue),
+        )
+
     def _may_still_send(self, call: Call, record: UpstreamRecord) -> bool:
         """Whether an upstream found before a wait for room may get the request."""
         view = self._view
@@ -198,6 +207,20 @@
         self._admission.admit(call, record)
         return record, []
 
+    def _sort_by_cost(
+        self, call: Call, records: Iterable[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return upstreams in the order in which a waiting request takes room."""
+
+        def estimate_cost(record: UpstreamRecord) -> float:
+            expected = self._costs.estimate(call, record)
+            cost = expected.wait_s + expected.work_s
+            if record.data_centre == self._settings.data_centre:
+                return cost
+            return cost * self._settings.choice.remote_cost_factor
+
+        return sorted(records, key=estimate_cost)
+
     def _list_with_room(
         self, candidates: Iterable[UpstreamRecord]
     ) -> list[UpstreamRecord]:
