--- a/packages/core/plantaincart_core/silence.py
+++ b/packages/core/plantaincart_core/silence.py
@@ -14,6 +14,9 @@
 # older ones lose weight.
 FIRST_WEIGHT = 10
 MOST_WEIGHT = 200
+# Fraction to which silences may have aged and still count: they are then seen within
+# four tenths of the half-life.
+FORGOTTEN_SHARE = 0.75
 # Smallest expected response time in seconds that a ratio refers to.
 LEAST_EXPECTED_S = 0.005
 
@@ -54,6 +57,11 @@
     told_s: float = 20.0
     least_s: float = 0.05
 
+    @property
+    def least_shown(self) -> float:
+        """Aged number of silences from which `shown_events` count as seen."""
+        return FORGOTTEN_SHARE * self.shown_events
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Wait:
@@ -172,8 +180,7 @@
         """Return whether upstreams of the service fall silent."""
         if now < self._told_until:
             return True
-        # Two events within a third of the half-life count as two.
-        return self.count_shown(now) >= 0.75 * self._settings.shown_events
+        return self.count_shown(now) >= self._settings.least_shown
 
     def count_shown(self, now: float) -> float:
         """Return the number of silences that this instance has seen lately."""
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -30,6 +30,7 @@
 MAX_CRASH_RECORDS = 256
 MAX_CRASHED_UPSTREAMS = 256
 MAX_LIMITS = 4096
+MAX_SILENT_SERVICES = 4096
 MAX_LIMIT_PER_S = 1e6
 MAX_PERMITS = 10**4
 MAX_PERMIT_WAIT_S = 1e7
@@ -61,6 +62,9 @@
     _check(all(version >= 0 for version in report.tables.values()), "tables")
     _check_range(report.leaving_upstreams.values(), MAX_BORN_MS, "leaving_upstreams")
     _check_range(map(len, report.backed_off), MAX_NAME_LENGTH, "backed_off")
+    _check_range(report.silences.values(), MAX_COUNT, "silences")
+    _check_range(map(len, report.silences), MAX_NAME_LENGTH, "silences")
+    _check_range([len(report.silences)], MAX_SILENT_SERVICES, "silences")
     _check_crashes(report.crashes)
     _check_limits(report.limits)
     _check_range([limit.waiting for limit in report.limits], MAX_COUNT, "waiting")
@@ -98,6 +102,8 @@
     )
     _check(all(map(_is_key_range, notice.changes)), "key range")
     _check(all(map(_is_address, notice.relays)), "relays")
+    _check_range(map(len, notice.silent_services), MAX_NAME_LENGTH, "silent services")
+    _check_range([len(notice.silent_services)], MAX_SILENT_SERVICES, "silent services")
     _check_crashes(notice.crashes)
     _check_limits(notice.quotas)
     _check_range([quota.permits for quota in notice.quotas], MAX_PERMITS, "permits")
--- a/packages/router/plantaincart_router/direct/silencefact.py
+++ b/packages/router/plantaincart_router/direct/silencefact.py
@@ -93,9 +93,7 @@
     def describe(self, scope: NoticeScope) -> Mapping[str, Any]:
         if not self._reported:
             return {}
-        least = max(
-            self._settings.shown_events, LEAST_MEMBER_SHARE * len(self._members)
-        )
+        least = max(self._settings.least_shown, LEAST_MEMBER_SHARE * len(self._members))
         counts: dict[str, float] = {}
         for silences in self._reported.values():
             for service, count in silences.items():
