--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -1,14 +1,11 @@
 """Attempts at upstreams that may never answer, and their repeats."""
 
-from abc import ABC, abstractmethod
 from asyncio import FIRST_COMPLETED, Task, create_task, get_running_loop, wait
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
-from plantaincart_core.silence import ServiceSilence, Wait
-from plantaincart_core.upstreamload import UpstreamLoad
+from plantaincart_core.silence import ServiceSilence
 from plantaincart_core.verdict import RefusedError
 
 from plantaincart_router.direct.call import Call, LostError
@@ -16,12 +13,12 @@
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
-from plantaincart_router.direct.transport import AttemptProgress
+from plantaincart_router.direct.silentattempt import SilenceListener, WatchedAttempt
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.message import HttpAnswer
 from plantaincart_router.log import write_event
 
-__all__ = ["SilenceGuard", "SilenceListener"]
+__all__ = ["SilenceGuard"]
 
 # Seconds between looks at whether the queue of a silent owner has drained, as a
 # multiple of the time that one request takes there.
@@ -29,52 +26,6 @@
 LEAST_DRAIN_POLL_S = 0.02
 
 
-class SilenceListener(ABC):
-    """Learns how many requests an upstream had when it fell silent."""
-
-    @abstractmethod
-    def record_silent(self, record: UpstreamRecord, in_flight: float) -> None:
-        """
-        Record that an upstream didn't take a request.
-
-        Parameters
-        ----------
-        record : UpstreamRecord
-            Process of the upstream.
-        in_flight : float
-            Estimated requests of all instances there when the request was sent,
-            without it: its room at that moment was at most this.
-        """
-
-
-@dataclass(slots=True)
-class _Attempt:
-    call: Call
-    record: UpstreamRecord
-    expected_s: float
-    load: UpstreamLoad
-    in_flight: float
-    started_at: float
-    is_silent: bool = False
-    progress: AttemptProgress = field(default_factory=AttemptProgress)
-
-    def measure(self, now: float) -> Wait | None:
-        """Return the wait for the first byte, or None if nothing was sent."""
-        sent_at = self.progress.sent_at
-        if sent_at is None:
-            return None
-        ended_at = now
-        if self.progress.started_at is not None:
-            ended_at = self.progress.started_at
-        return Wait(
-            route=self.call.route.name,
-            process=f"{self.record.id}/{self.record.born}",
-            sent_at=sent_at,
-            elapsed_s=ended_at - sent_at,
-            expected_s=self.expected_s,
-        )
-
-
 class SilenceGuard:
     """
     Sends requests, and repeats idempotent ones to whose attempt no answer will come.
@@ -167,7 +118,9 @@
                 timer.cancel()
         return await self._send_watched(attempt, limit_s)
 
-    async def _send_watched(self, attempt: _Attempt, limit_s: float) -> HttpAnswer:
+    async def _send_watched(
+        self, attempt: WatchedAttempt, limit_s: float
+    ) -> HttpAnswer:
         first = self._start(attempt)
         second: Task[HttpAnswer] | None = None
         try:
@@ -185,7 +138,7 @@
             raise
 
     async def _start_repeat(
-        self, attempt: _Attempt, first: Task[HttpAnswer]
+        self, attempt: WatchedAttempt, first: Task[HttpAnswer]
     ) -> Task[HttpAnswer] | None:
         """Start the repeat of a silent attempt, if one may be sent."""
         call, record = attempt.call, attempt.record
@@ -224,7 +177,7 @@
         return self._start(self._make_attempt(call, target))
 
     async def _wait_until_drained(
-        self, attempt: _Attempt, first: Task[HttpAnswer]
+        self, attempt: WatchedAttempt, first: Task[HttpAnswer]
     ) -> None:
         """Wait until fewer requests are at an owner than when it fell silent."""
         call, loads = attempt.call, self._view.loads
@@ -263,12 +216,12 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _start(self, attempt: _Attempt) -> Task[HttpAnswer]:
+    def _start(self, attempt: WatchedAttempt) -> Task[HttpAnswer]:
         task = create_task(self._send_once(attempt))
         task.add_done_callback(_retrieve_exception)
         return task
 
-    async def _send_once(self, attempt: _Attempt) -> HttpAnswer:
+    async def _send_once(self, attempt: WatchedAttempt) -> HttpAnswer:
         """Send one attempt, and learn from its end."""
         call, record = attempt.call, attempt.record
         silence = self._find_silence(call)
@@ -285,7 +238,7 @@
             self._metrics.count("silent", call.service.name, "slow")
         return answer
 
-    def _record_unanswered(self, attempt: _Attempt) -> None:
+    def _record_unanswered(self, attempt: WatchedAttempt) -> None:
         call, record = attempt.call, attempt.record
         waited = attempt.measure(monotonic())
         if waited is None or attempt.progress.started_at is not None:
@@ -296,7 +249,7 @@
         if self.listener is not None:
             self.listener.record_silent(record, attempt.in_flight)
 
-    def _judge(self, attempt: _Attempt) -> bool:
+    def _judge(self, attempt: WatchedAttempt) -> bool:
         """Take an attempt for silent unless its answer has begun to arrive."""
         if attempt.progress.started_at is not None or attempt.progress.sent_at is None:
             return False
@@ -314,11 +267,11 @@
         )
         return True
 
-    def _make_attempt(self, call: Call, record: UpstreamRecord) -> _Attempt:
+    def _make_attempt(self, call: Call, record: UpstreamRecord) -> WatchedAttempt:
         loads, now = self._view.loads, monotonic()
         load = loads.get(record.id)
         expected = self._costs.estimate(call, record)
-        return _Attempt(
+        return WatchedAttempt(
             call=call,
             record=record,
             expected_s=expected.wait_s + expected.work_s,
--- a/packages/router/plantaincart_router/direct/tests/test_silence.py
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 import pytest
-from plantaincart_router.direct.silenceguard import SilenceListener
+from plantaincart_router.direct.silentattempt import SilenceListener
 from plantaincart_router.direct.tests.fakes import make_plan
 from plantaincart_router.direct.tests.test_gateway import (
     Upstream,
