--- a/packages/router/plantaincart_router/http/pacing.py
+++ b/packages/router/plantaincart_router/http/pacing.py
@@ -8,7 +8,7 @@
 
 # Seconds of the link's time that one piece takes, and between pieces. A small answer
 # waits for one piece of all large answers together.
-PIECE_S = 0.01
+PIECE_S = 0.02
 # Fraction of the link that large answers use together. Small answers use the rest, so
 # that no queue grows at the link.
 BULK_SHARE = 0.85
