--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -144,14 +144,14 @@
         call, record = attempt.call, attempt.record
         if call.service.keyed:
             await self._wait_until_drained(attempt, first)
-        if first.done():
+        is_suspect = self._view.crashes.is_suspect(
+            call.request, call.service.name, monotonic()
+        )
+        if first.done() or is_suspect:
             return None
-        call.silent_attempts += 1
+        if not call.service.keyed:
+            call.excluded_upstreams.add(record.id)
         try:
-            if not self._may_repeat(call):
-                return None
-            if not call.service.keyed:
-                call.excluded_upstreams.add(record.id)
             target = await self._selector.find_upstream(call)
         except RefusedError as error:
             write_event(
@@ -161,9 +161,11 @@
                 detail=str(error),
             )
             return None
-        finally:
-            call.silent_attempts -= 1
-        if first.done():
+        # The retry budget is spent last, since most repeats at owners are refused.
+        call.silent_attempts += 1
+        may_repeat = not first.done() and self._may_repeat(call)
+        call.silent_attempts -= 1
+        if not may_repeat:
             self._view.quotas.give_back(target)
             return None
         self._metrics.count("silent", call.service.name, "repeated")
--- a/packages/router/plantaincart_router/direct/tests/test_silence.py
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -1,9 +1,10 @@
 """Requests to upstreams that never answer what they can't queue."""
 
-from asyncio import CancelledError, create_task, sleep, wait
+from asyncio import CancelledError, create_task, gather, sleep, wait
 from time import monotonic
 
 import pytest
+from plantaincart_router.direct.settings import BoundSettings
 from plantaincart_router.direct.silentattempt import SilenceListener
 from plantaincart_router.direct.tests.fakes import make_plan
 from plantaincart_router.direct.tests.test_gateway import (
@@ -174,6 +175,30 @@
         assert not other.requests
 
 
+async def test_suspect_request_isn_t_repeated():
+    """A request under which an upstream has ended may end the next one, too."""
+    silent, other = Upstream(fall_silent()), Upstream()
+    async with run_gateway(silent, other) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        view.crashes.is_suspect = lambda *_: True
+        response = await call_gateway(gateway)
+        assert (response.status, len(other.requests)) == (504, 0)
+
+
+async def test_repeats_keep_to_the_retry_budget():
+    """Silence everywhere: repeats must not fill what little room is left."""
+    upstreams = [Upstream(*[fall_silent()] * 40) for _ in range(2)]
+    bounds = BoundSettings(retry_ratio=0.0, retry_extra=5.0)
+    async with run_gateway(*upstreams, bounds=bounds) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        await gather(*(call_gateway(gateway, request_id=f"r{at}") for at in range(20)))
+        sent = sum(len(upstream.requests) for upstream in upstreams)
+        assert 20 < sent <= 25
+
+
 async def test_both_attempts_end_with_their_caller():
     """Pattern give_up: no upstream stays at work for a caller that has gone."""
     upstreams = [Upstream(fall_silent()) for _ in range(2)]
