--- a/packages/router/plantaincart_router/http/connection.py
+++ b/packages/router/plantaincart_router/http/connection.py
@@ -36,6 +36,11 @@
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 from plantaincart_router.http.problem import HANDLER_FAILED, render_problem
 from plantaincart_router.http.requestbody import RequestBody
+from plantaincart_router.http.requestlimits import (
+    SizeRefusal,
+    check_body,
+    check_head,
+)
 from plantaincart_router.http.timeout import ReschedulableTimeout
 
 __all__ = ["ServerConnection"]
@@ -195,37 +200,24 @@
         self._request = head
         self._state = _State.BODY
         self._timeout.clear()
-        if self._unread_bytes > self._limits.max_head_bytes:
-            size = sum(len(name) + len(value) + 4 for name, value in head.headers)
-            if size + len(head.target) > self._limits.max_head_bytes:
-                self._refuse(431, Reason.HEAD_TOO_LARGE, "head too large")
-                return False
-        if head.method == b"CONNECT":
-            self._refuse(405, Reason.BAD_REQUEST, "method CONNECT not supported")
-            return False
-        length = next(
-            (int(value) for name, value in head.headers if name == b"content-length"), 0
+        return self._pass(
+            check_head(head, self._unread_bytes, self._limits, self._owner.held)
         )
-        return self._check_body_size(length) and self._check_memory(length)
 
     def _append_body(self, data: bytes) -> bool:
-        if not self._check_memory(len(data)):
-            return False
-        self._body.append(data)
-        return self._check_body_size(self._body.byte_count)
-
-    def _check_memory(self, byte_count: int) -> bool:
-        if self._owner.held.fits(byte_count):
+        size = self._body.byte_count + len(data)
+        refusal = check_body(size, len(data), self._limits, self._owner.held)
+        if refusal is None:
+            self._body.append(data)
+        return self._pass(refusal)
+
+    def _pass(self, refusal: SizeRefusal | None) -> bool:
+        """Reject a request that is too large; return whether it may go on."""
+        if refusal is None:
             return True
-        reason = Reason.TOO_MANY_REQUESTS_IN_FLIGHT
-        self._refuse(503, reason, "no memory for the request", RETRY_AFTER_S)
-        return False
-
-    def _check_body_size(self, size: int) -> bool:
-        limit = self._limits.max_body_bytes
-        if size <= limit:
-            return True
-        self._refuse(413, Reason.BODY_TOO_LARGE, f"body above {limit} bytes")
+        self._refuse(
+            refusal.status, refusal.reason, refusal.detail, refusal.retry_after_s
+        )
         return False
 
     def _start_handler(self) -> None:
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -4,7 +4,6 @@
     BaseTransport,
     Future,
     Protocol,
-    TimerHandle,
     Transport,
     get_running_loop,
     timeout,
@@ -28,16 +27,10 @@
 )
 from plantaincart_router.http.codec import ClientCodec
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
+from plantaincart_router.http.readpause import ReadPause
 
 __all__ = ["HttpConnection"]
 
-# Size in bytes of an incomplete answer above which it is read more slowly while the
-# instance holds much.
-LARGE_ANSWER_BYTES = 16384
-# Longest time in seconds for which such an answer isn't read. Upstreams cut off an
-# answer that stays unread for some seconds.
-MAX_UNREAD_S = 1.0
-
 
 class HttpConnection(Protocol, AnswerHolder):
     """
@@ -81,8 +74,7 @@
         self._waiter: Future[HttpAnswer] | None = None
         self._closed = False
         self._send_timeout: SendTimeout | None = None
-        self._resume_timer: TimerHandle | None = None
-        self._may_pause = True
+        self._read_pause = ReadPause(self._loop, self._buffers.held_bytes)
         self.last_answer_at = 0.0
 
     @classmethod
@@ -216,7 +208,7 @@
             transport.write(data)
             self._matches_request = matches_request
             self._notify_started = notify_started
-            self._may_pause = True
+            self._read_pause.start_answer()
             self._waiter = waiter
             return await waiter
         except (OSError, RuntimeError) as error:
@@ -229,28 +221,7 @@
             timer.cancel()
             self._waiter = None
             self._buffers.release(self)
-            self._resume_reading()
-
-    def _pause_reading(self) -> None:
-        """Stop reading until the instance holds less, for a limited time."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        if not self._may_pause:
-            return
-        # An answer is held back once, so that it is read in time.
-        self._may_pause = False
-        self._transport.pause_reading()
-        self._resume_timer = self._loop.call_later(MAX_UNREAD_S, self._resume_reading)
-        self._buffers.held_bytes.wait(self, self._resume_reading)
-
-    def _resume_reading(self) -> None:
-        if self._resume_timer is None:
-            return
-        self._resume_timer.cancel()
-        self._resume_timer = None
-        self._buffers.held_bytes.stop_waiting(self)
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+            self._read_pause.end()
 
     def _reset_connection(self) -> None:
         """
@@ -327,8 +298,7 @@
             held_bytes = self._codec.buffered_bytes
             if held_bytes:
                 self._buffers.hold(self, held_bytes)
-            if held_bytes > LARGE_ANSWER_BYTES and self._is_near_limit:
-                self._pause_reading()
+            self._read_pause.check(self._transport, held_bytes)
             return
         waiter, self._waiter = self._waiter, None
         self.last_answer_at = self._loop.time()
@@ -349,10 +319,6 @@
         self._reset_connection()
         self._codec.reset()
 
-    @property
-    def _is_near_limit(self) -> bool:
-        return self._buffers.held_bytes.is_near_limit
-
     def _encode(self, request: HttpRequest) -> bytes:
         try:
             return self._codec.encode(request)
