--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -2,27 +2,25 @@
 
 from asyncio import FIRST_COMPLETED, Task, create_task, get_running_loop, wait
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
-from plantaincart_core.silence import ServiceSilence, Wait
-from plantaincart_core.upstreamload import UpstreamLoad
+from plantaincart_core.silence import ServiceSilence
 from plantaincart_core.verdict import RefusedError
 
-from plantaincart_router.direct.call import Call, LostError, NotRunError
+from plantaincart_router.direct.call import Call, LostError
 from plantaincart_router.direct.cost import CostEstimator
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.roomgate import RoomGate
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.silencelistener import SilenceListener
-from plantaincart_router.direct.transport import AttemptProgress
+from plantaincart_router.direct.silentattempt import WatchedAttempt
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.message import HttpAnswer
 from plantaincart_router.log import write_event
 
-__all__ = ["SilenceGuard", "SilenceListener"]
+__all__ = ["SilenceGuard"]
 
 # Seconds between looks at whether the queue of a silent owner has drained, as a
 # multiple of the time that one request takes there.
@@ -30,35 +28,6 @@
 LEAST_DRAIN_POLL_S = 0.02
 
 
-@dataclass(slots=True)
-class _Attempt:
-    call: Call
-    record: UpstreamRecord
-    expected_s: float
-    load: UpstreamLoad
-    in_flight: float
-    started_at: float
-    is_silent: bool = False
-    holds_room: bool = True
-    progress: AttemptProgress = field(default_factory=AttemptProgress)
-
-    def measure(self, now: float) -> Wait | None:
-        """Return the wait for the first byte, or None if nothing was sent."""
-        sent_at = self.progress.sent_at
-        if sent_at is None:
-            return None
-        ended_at = now
-        if self.progress.started_at is not None:
-            ended_at = self.progress.started_at
-        return Wait(
-            route=self.call.route.name,
-            process=f"{self.record.id}/{self.record.born}",
-            sent_at=sent_at,
-            elapsed_s=ended_at - sent_at,
-            expected_s=self.expected_s,
-        )
-
-
 class SilenceGuard:
     """
     Sends requests, and repeats idempotent ones to whose attempt no answer will come.
@@ -72,7 +41,7 @@
     selector : UpstreamSelector
         Finds the upstream for a repeat.
     gate : RoomGate
-        Is given back the room of each attempt.
+        Is given back the unit of room of each attempt.
     costs : CostEstimator
         Expected wait and duration.
     metrics : RouterMetrics
@@ -87,7 +56,9 @@
     first answer that comes is delivered, its connection carries no other request
     meanwhile, and the time that a late answer took tells whether the attempt was only
     slow. A request has one repeat at most while an earlier attempt of it goes on, so
-    that at most one run isn't needed. A non-idempotent request isn't repeated, and
+    that at most one run isn't needed. It counts as one at its upstream until it ends:
+    taken off at once, it would make full upstreams look free, and half of the attempts
+    that count as silent are slow. A non-idempotent request isn't repeated, and
     ends no sooner.
     """
 
@@ -125,7 +96,8 @@
         call : Call
             The request.
         record : UpstreamRecord
-            The upstream.
+            The upstream, at which a unit of room was taken. It is given back when the
+            attempt has ended.
 
         Returns
         -------
@@ -147,17 +119,19 @@
             try:
                 return await self._send_once(attempt)
             finally:
-                self._release(attempt)
+                self._gate.release(record)
         if not call.route.idempotent:
             timer = get_running_loop().call_later(limit_s, self._judge, attempt)
             try:
                 return await self._send_once(attempt)
             finally:
                 timer.cancel()
-                self._release(attempt)
+                self._gate.release(record)
         return await self._send_watched(attempt, limit_s)
 
-    async def _send_watched(self, attempt: _Attempt, limit_s: float) -> HttpAnswer:
+    async def _send_watched(
+        self, attempt: WatchedAttempt, limit_s: float
+    ) -> HttpAnswer:
         first = self._start(attempt)
         second: Task[HttpAnswer] | None = None
         try:
@@ -175,20 +149,20 @@
             raise
 
     async def _start_repeat(
-        self, attempt: _Attempt, first: Task[HttpAnswer]
+        self, attempt: WatchedAttempt, first: Task[HttpAnswer]
     ) -> Task[HttpAnswer] | None:
         """Start the repeat of a silent attempt, if one may be sent."""
         call, record = attempt.call, attempt.record
         if call.service.keyed:
             await self._wait_until_drained(attempt, first)
-        if first.done():
+        is_suspect = self._view.crashes.is_suspect(
+            call.request, call.service.name, monotonic()
+        )
+        if first.done() or is_suspect:
             return None
-        call.silent_attempts += 1
+        if not call.service.keyed:
+            call.excluded_upstreams.add(record.id)
         try:
-            if not self._may_repeat(call):
-                return None
-            if not call.service.keyed:
-                call.excluded_upstreams.add(record.id)
             target = await self._selector.find_upstream(call)
         except RefusedError as error:
             write_event(
@@ -198,9 +172,11 @@
                 detail=str(error),
             )
             return None
-        finally:
-            call.silent_attempts -= 1
-        if first.done():
+        # The retry budget is spent last, since most repeats at owners are refused.
+        call.silent_attempts += 1
+        may_repeat = not first.done() and self._may_repeat(call)
+        call.silent_attempts -= 1
+        if not may_repeat:
             self._view.quotas.give_back(target)
             self._gate.release(target)
             return None
@@ -215,7 +191,7 @@
         return self._start(self._make_attempt(call, target))
 
     async def _wait_until_drained(
-        self, attempt: _Attempt, first: Task[HttpAnswer]
+        self, attempt: WatchedAttempt, first: Task[HttpAnswer]
     ) -> None:
         """Wait until fewer requests are at an owner than when it fell silent."""
         call, loads = attempt.call, self._view.loads
@@ -223,7 +199,8 @@
             LEAST_DRAIN_POLL_S, DRAIN_POLL_SHARE * self._costs.estimate_work(call)
         )
         while (
-            attempt.load.estimate_in_flight(monotonic(), loads.settings)
+            # Without the silent attempt, which counts until it ends.
+            attempt.load.estimate_in_flight(monotonic(), loads.settings) - 1.0
             >= attempt.in_flight
             and attempt.in_flight >= 1.0
             and call.remaining_s > attempt.expected_s + poll_s
@@ -253,35 +230,23 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _start(self, attempt: _Attempt) -> Task[HttpAnswer]:
+    def _start(self, attempt: WatchedAttempt) -> Task[HttpAnswer]:
         task = create_task(self._send_once(attempt))
         task.add_done_callback(_retrieve_exception)
-        # The task may be cancelled before it begins.
-        task.add_done_callback(lambda _: self._release(attempt))
+        # A task that is cancelled before it begins has taken its unit, too.
+        task.add_done_callback(lambda _: self._gate.release(attempt.record))
         return task
 
-    def _release(self, attempt: _Attempt) -> None:
-        """Give back the room of an attempt, once."""
-        if attempt.holds_room:
-            attempt.holds_room = False
-            self._gate.release(attempt.record)
-
-    async def _send_once(self, attempt: _Attempt) -> HttpAnswer:
+    async def _send_once(self, attempt: WatchedAttempt) -> HttpAnswer:
         """Send one attempt, and learn from its end."""
         call, record = attempt.call, attempt.record
         silence = self._find_silence(call)
         try:
             answer = await self._sender.send(call, record, attempt.progress)
-        except NotRunError:
-            raise
         except LostError as error:
             if error.timed_out:
                 self._record_unanswered(attempt)
             raise
-        finally:
-            if attempt.is_silent:
-                # Taken off by `_judge`, and a second time by the sender.
-                attempt.load.in_flight += 1
         waited = attempt.measure(monotonic())
         if waited is not None and silence.record_answer(waited):
             write_event("silence_shown", service=call.service.name, upstream=record.id)
@@ -289,7 +254,7 @@
             self._metrics.count("silent", call.service.name, "slow")
         return answer
 
-    def _record_unanswered(self, attempt: _Attempt) -> None:
+    def _record_unanswered(self, attempt: WatchedAttempt) -> None:
         call, record = attempt.call, attempt.record
         waited = attempt.measure(monotonic())
         if waited is None or attempt.progress.started_at is not None:
@@ -300,15 +265,12 @@
         if self.listener is not None:
             self.listener.record_silent(record, attempt.in_flight)
 
-    def _judge(self, attempt: _Attempt) -> bool:
+    def _judge(self, attempt: WatchedAttempt) -> bool:
         """Take an attempt for silent unless its answer has begun to arrive."""
         if attempt.progress.started_at is not None or attempt.progress.sent_at is None:
             return False
         attempt.is_silent = True
         call, record = attempt.call, attempt.record
-        # The upstream doesn't hold the request.
-        attempt.load.in_flight -= 1
-        self._release(attempt)
         self._metrics.count("silent", call.service.name, "judged")
         write_event(
             "attempt_silent",
@@ -321,11 +283,11 @@
         )
         return True
 
-    def _make_attempt(self, call: Call, record: UpstreamRecord) -> _Attempt:
+    def _make_attempt(self, call: Call, record: UpstreamRecord) -> WatchedAttempt:
         loads, now = self._view.loads, monotonic()
         load = loads.get(record.id)
         expected = self._costs.estimate(call, record)
-        return _Attempt(
+        return WatchedAttempt(
             call=call,
             record=record,
             expected_s=expected.wait_s + expected.work_s,
--- a/packages/router/plantaincart_router/direct/silencelistener.py
+++ b/packages/router/plantaincart_router/direct/silencelistener.py
@@ -1,4 +1,4 @@
-"""Interface to what the silence of upstreams tells."""
+"""Interface to those who learn of the silence of upstreams."""
 
 from abc import ABC, abstractmethod
 
