--- a/packages/core/plantaincart_core/tests/test_pace.py
+++ b/packages/core/plantaincart_core/tests/test_pace.py
@@ -3,7 +3,8 @@
 from random import Random
 
 import pytest
-from plantaincart_core.pace import FleetPace, PaceSettings, PaceTable
+from plantaincart_core.pace import FleetPace, PaceSettings
+from plantaincart_core.pacetable import PaceTable
 
 SETTINGS = PaceSettings()
 STEP_S = 0.25
--- a/packages/router/plantaincart_router/direct/pacefact.py
+++ b/packages/router/plantaincart_router/direct/pacefact.py
@@ -5,7 +5,8 @@
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.factorcodec import pack_factors, unpack_factors
-from plantaincart_core.pace import FleetPace, PaceSettings, PaceTable
+from plantaincart_core.pace import FleetPace, PaceSettings
+from plantaincart_core.pacetable import PaceTable
 from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_schema.generated.direct import CoordinatorNotice
 
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -6,7 +6,8 @@
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
 from plantaincart_core.ownermap import KeyRange, OwnerMap
-from plantaincart_core.pace import PaceSettings, PaceTable
+from plantaincart_core.pace import PaceSettings
+from plantaincart_core.pacetable import PaceTable
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration
 from plantaincart_core.upstreamload import UpstreamLoads
 from plantaincart_core.upstreamspeed import UpstreamSpeeds
