--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -7,7 +7,8 @@
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
 from plantaincart_core.ownermap import KeyRange, OwnerMap
-from plantaincart_core.pace import PaceSettings, PaceTable
+from plantaincart_core.pace import PaceSettings
+from plantaincart_core.pacetable import PaceTable
 from plantaincart_core.silence import SilenceSettings
 from plantaincart_core.traffic import RouteIndex, RoutingConfiguration, ServicePolicy
 from plantaincart_core.upstreamload import UpstreamLoads
