--- a/packages/router/plantaincart_router/direct/accountfact.py
+++ b/packages/router/plantaincart_router/direct/accountfact.py
@@ -28,6 +28,8 @@
 
 # Minimum time in seconds between two log lines on the division of the quotas.
 LOG_INTERVAL_S = 5.0
+# Fraction of the interval between reports after which a request that waits causes one.
+ASK_SHARE = 0.4
 # Greatest number of accounts in such a line; those with the fewest tokens left.
 MAX_LOGGED = 8
 
@@ -50,6 +52,11 @@
         Tokens of this instance.
     on_change : callable
         Called when an answer of the coordinator has been adopted.
+    ask_after_s : float
+        Seconds since the last report after which a request that waits for a token may
+        cause one.
+    reported_at : float
+        Time of the last report in seconds.
 
     Notes
     -----
@@ -68,14 +75,16 @@
         )
         self.accounts = AccountIndex()
         self.quotas = AccountQuotas(self.bounds, settings.coordination.report_s)
+        self.ask_after_s = settings.coordination.report_s * ASK_SHARE
         self.on_change: Callable[[], None] = _ignore
         self._heard_at = 0.0
+        self.reported_at = 0.0
 
     def describe(self, now: float, is_newly_connected: bool) -> Mapping[str, Any]:
         """Report the demand by account."""
         if not self.accounts.has_limits:
             return {}
-        sent_at = read_boot_time()
+        sent_at = self.reported_at = read_boot_time()
         demands = [
             AccountReport(
                 account=demand.account,
