--- a/packages/operator/plantaincart_operator/explain.py
+++ b/packages/operator/plantaincart_operator/explain.py
@@ -72,6 +72,7 @@
         "move_failed",
         "moves_not_written",
         "plan_adopted",
+        "quota_used_up",
         "quotas_divided",
         "release_failed",
         "started",
--- a/packages/operator/plantaincart_operator/tests/test_explain.py
+++ b/packages/operator/plantaincart_operator/tests/test_explain.py
@@ -161,3 +161,32 @@
 
 def test_no_restoration_is_explained_without_one(events):
     assert explain_request("c4854c20a90493e9", events).describe_restoration() == ""
+
+
+OVER_QUOTA = (
+    "event=request_ended request=9a1b route=r-7 service=desk account=jebo540 "
+    'status=429 outcome=rate-limited detail="quota of the account, own share" '
+    "attempts=0 ms=0"
+)
+UNKNOWN_ACCOUNT = (
+    "event=request_ended request=9a1c status=401 outcome=account-unknown "
+    'detail="no account holds the key"'
+)
+
+
+def test_cause_of_a_refused_account_is_explained(tmp_path):
+    used_up = "event=quota_used_up account=jebo540 count=3 told_s=1.2 alone=true"
+    lines = [
+        format_log_line(115963842489200000, "a-1", "event=term_ended epoch=1"),
+        format_log_line(115963842489200001, "a-1", used_up),
+        format_log_line(115963842489200002, "a-1", OVER_QUOTA),
+        format_log_line(115963842489200003, "a-1", UNKNOWN_ACCOUNT),
+    ]
+    (tmp_path / "day.log").write_text("\n".join(lines))
+    events = list(read_events([tmp_path]))
+    report = explain_request("9a1b", events)
+    cause = report.describe_cause()
+    assert "quota of the caller's account" in cause and "own share" in cause
+    names = [event.event for event in report.context]
+    assert names == ["term_ended", "quota_used_up"]
+    assert "no account" in explain_request("9a1c", events).describe_cause()
