--- a/packages/router/plantaincart_router/direct/tests/test_silence.py
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -199,6 +199,50 @@
         assert 20 < sent <= 25
 
 
+@pytest.mark.parametrize("keyed", [False, True])
+@pytest.mark.parametrize("leaves", [False, True])
+async def test_each_unit_of_room_is_given_back_once(keyed, leaves):
+    """A unit that is lost, or given back twice, makes room wrong for good."""
+    first, other = Upstream(fall_silent(), answer(delay_s=0.1)), Upstream()
+    async with run_gateway(first, other, plan=make_plan(keyed=keyed)) as (
+        gateway,
+        view,
+    ):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        taken, given = count_units(view.room)
+        caller = CallerConnection()
+        task = create_task(gateway.handle(make_request(), caller))
+        await sleep(0.4 if leaves else 0.0)
+        if leaves:
+            caller.set_disconnected()
+        await wait({task}, timeout=2.0)
+        gateway.close()
+        await sleep(0.05)
+        assert len(taken) >= 2
+        assert sorted(taken) == sorted(given)
+
+
+def count_units(room):
+    """Return the lists of the upstreams whose units are taken, and given back."""
+    taken, given = [], []
+    try_acquire, release = room.try_acquire, room.release
+
+    def count_taken(record, now):
+        is_taken = try_acquire(record, now)
+        if is_taken:
+            taken.append(record.id)
+        return is_taken
+
+    def count_given(record):
+        given.append(record.id)
+        release(record)
+
+    room.try_acquire, room.release = count_taken, count_given
+    return taken, given
+
+
 async def test_both_attempts_end_with_their_caller():
     """Pattern give_up: no upstream stays at work for a caller that has gone."""
     upstreams = [Upstream(fall_silent()) for _ in range(2)]
