Measure speeds at busy upstreams, too, and count the mean slowdown for keys

Suspected: answers that said that others wait weren't measured, so that busy slow owners kept their keys; and the slowdown of a moment refused requests whose wait outlasts it.

--- a/packages/core/plantaincart_core/upstreamspeed.py
+++ b/packages/core/plantaincart_core/upstreamspeed.py
@@ -184,6 +184,11 @@
             return None
         return lasting * self.find_slowdown(upstream, service, now)
 
+    def find_mean_factor(self, upstream: str, service: str) -> float | None:
+        """Return the factor that is expected at other moments than now."""
+        lasting = self._lasting.get(upstream)
+        return None if lasting is None else lasting * self.find_mean_slowdown(service)
+
     def remove(self, upstream: str) -> None:
         """Forget an upstream whose process has ended."""
         self._lasting.pop(upstream, None)
--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -42,7 +42,12 @@
         work_s = self.estimate_work(call)
         mean_s = self._mean_work_s.get(call.service.name, work_s)
         now = monotonic()
-        factor = self._view.speeds.find_factor(record.id, record.service, now)
+        speeds = self._view.speeds
+        if call.service.keyed:
+            # Its request can't go elsewhere, and may outlast the slowdown of a moment.
+            factor = speeds.find_mean_factor(record.id, record.service)
+        else:
+            factor = speeds.find_factor(record.id, record.service, now)
         if factor is None:
             factor = loads.get(record.id).slowness
         wait_s = loads.estimate_wait_s(record.id, record.slots, mean_s, now, factor)
@@ -134,10 +139,9 @@
         """
         slowdown = 1.0 if load is None else load.slowdown
         speeds, now = self._view.speeds, monotonic()
-        has_waited = queued or (load is not None and load.waiting > 0)
         if load is not None:
             speeds.record_statement(record.id, record.service, slowdown, now)
-        if not has_waited:
+        if not queued:
             usual_s = self.estimate_work(call)
             speeds.record_answer(record.id, seconds, usual_s, slowdown)
         self._view.loads.record_work(
--- a/packages/router/plantaincart_router/direct/tests/test_pacefact.py
+++ b/packages/router/plantaincart_router/direct/tests/test_pacefact.py
@@ -287,6 +287,19 @@
     assert is_remote_cheaper()
 
 
+def test_noise_of_a_moment_refuses_no_request_with_a_key():
+    """Its owner is the only one, and the neighbours' burst ends before its wait."""
+    view, settings = make_view()
+    view.speeds.set_lasting({"u0": 1.0})
+    costs = CostEstimator(settings, view)
+    record = view.directory.get("u0")
+    quiet_s = costs.estimate(make_call(keyed=True), record).work_s
+    view.speeds.record_statement("u0", "ledger", 3.0, monotonic())
+    keyed_s = costs.estimate(make_call(keyed=True), record).work_s
+    assert keyed_s == pytest.approx(quiet_s, rel=0.05)
+    assert costs.estimate(make_call(), record).work_s > 2.0 * quiet_s
+
+
 def test_answers_that_count_as_bad():
     expected = LatencyEstimate(wait_s=0.1, work_s=0.1, remaining_s=1.0, target_s=0.5)
     assert is_good_answer(200, 0.5, expected)
