Weight the mean slowdown by the time of each request

A slowdown that ends while a request runs lengthens it without being stated, so that usual time times mean slowdown was longer than the mean time.

--- a/packages/core/plantaincart_core/tests/test_upstreamspeed.py
+++ b/packages/core/plantaincart_core/tests/test_upstreamspeed.py
@@ -169,3 +169,22 @@
         tracker.record({f"u{number}": 0.0})
     tracker.compare({"u1": "desk"})
     assert len(tracker._means) == 1
+
+
+def test_usual_time_times_mean_slowdown_is_the_mean_time():
+    """Neighbours change while requests of 0.2 s run, at intervals of 0.4 s."""
+    random, speeds = Random(5), UpstreamSpeeds()
+    total_s = net_s = 0.0
+    for _ in range(6000):
+        first, second = (3.0 if random.random() < 0.2 else 1.0 for _ in range(2))
+        left_s, work_s = random.random() * NOISE_S, 0.2
+        if work_s * first > left_s:
+            seconds, stated = left_s + (work_s - left_s / first) * second, second
+        else:
+            seconds, stated = work_s * first, first
+        total_s, net_s = total_s + seconds, net_s + seconds / stated
+        work = seconds / (work_s * stated)
+        speeds.record_statement("u1", "desk", stated, 0.0, work)
+    mean = speeds.find_mean_slowdown("desk")
+    assert mean == pytest.approx(total_s / net_s, rel=0.15)
+    assert mean < 1.4
--- a/packages/core/plantaincart_core/upstreamspeed.py
+++ b/packages/core/plantaincart_core/upstreamspeed.py
@@ -11,6 +11,8 @@
 STATEMENT_HALF_LIFE_S = 0.2
 # Weight of a statement in the mean slowdown of all upstreams.
 MEAN_WEIGHT = 0.01
+# Greatest weight of a request's work in that mean.
+MAX_WORK = 10.0
 # Slowdowns that differ less from the usual time aren't shared.
 MIN_SHARED_SLOWDOWN = 1.2
 # Measurements of one upstream between two reports, of which the mean is reported.
@@ -107,14 +109,34 @@
             samples.append(log2(max(factor, 1e-3)))
 
     def record_statement(
-        self, upstream: str, service: str, slowdown: float, now: float
+        self,
+        upstream: str,
+        service: str,
+        slowdown: float,
+        now: float,
+        work: float = 1.0,
     ) -> None:
-        """Record the slowdown of the moment that an answer states."""
+        """
+        Record the slowdown of the moment that an answer states.
+
+        Parameters
+        ----------
+        upstream, service : str
+            Identity of the upstream, and its service.
+        slowdown : float
+            Time that work takes now, as a multiple of the usual time.
+        now : float
+            Present time in seconds.
+        work : float
+            Response time without the slowdown, as a multiple of the usual one: weight
+            in the mean, so that usual time times mean is the mean time. A slowdown that
+            ends while a request runs lengthens its time, and isn't stated with it.
+        """
         self.is_stated = self.is_stated or slowdown != 1.0
         self._new_slowdowns[upstream] = slowdown
         self._statements[upstream] = _Statement(slowdown, now)
         mean = self.find_mean_slowdown(service)
-        mean += MEAN_WEIGHT * (slowdown - mean)
+        mean += MEAN_WEIGHT * min(work, MAX_WORK) * (slowdown - mean)
         self._mean_slowdowns[service] = mean
 
     def drain_ratios(self) -> dict[str, float]:
--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -139,10 +139,11 @@
         """
         slowdown = 1.0 if load is None else load.slowdown
         speeds, now = self._view.speeds, monotonic()
+        usual_s = self.estimate_work(call)
         if load is not None:
-            speeds.record_statement(record.id, record.service, slowdown, now)
+            work = 0.0 if queued else seconds / max(usual_s * slowdown, MIN_EXPECTED_S)
+            speeds.record_statement(record.id, record.service, slowdown, now, work)
         if not queued:
-            usual_s = self.estimate_work(call)
             speeds.record_answer(record.id, seconds, usual_s, slowdown)
         self._view.loads.record_work(
             call.route.name,
