Let accounts of one rank wait for room by turns

AccountTurns decides the order; each request of an account takes a turn as it is admitted, and gives it back if it is refused. Waiting requests choose the upstream by the cost that new ones use.

--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -37,7 +37,8 @@
             If it must not be served now.
         """
 
-    def record_end(self, call: Call, refusal: Refusal | None) -> None:  # noqa: B027
+    @abstractmethod
+    def record_end(self, call: Call, refusal: Refusal | None) -> None:
         """
         Take note of the end of a request that was let pass by all policies.
 
--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from plantaincart_core.account import ClientAccount
+from plantaincart_core.accountfairness import TurnKey
 from plantaincart_core.rank import Rank
 from plantaincart_core.traffic import Route, ServicePolicy
 from plantaincart_core.verdict import Reason, Refusal, RefusedError, refuse_not_run
@@ -54,6 +55,8 @@
         The caller's account; None without one.
     has_token : bool
         Whether it has taken a token of the account's quota.
+    turn_key : TurnKey or None
+        Turn of its account; None without an account.
     is_returning : bool
         Whether its caller has probably been turned away before.
     admitted : bool
@@ -77,6 +80,7 @@
     account_priority: int = 0
     account: ClientAccount | None = None
     has_token: bool = False
+    turn_key: TurnKey | None = None
     is_returning: bool = False
     admitted: bool = False
 
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -17,6 +17,7 @@
 from plantaincart_core.windowbudget import WindowRetryBudget
 
 from plantaincart_router.direct.accountgate import AccountGate
+from plantaincart_router.direct.accountturn import AccountTurnPolicy
 from plantaincart_router.direct.admissioncontrol import AdmissionControl, EntryPolicy
 from plantaincart_router.direct.answermemory import AnswerMemory
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
@@ -129,8 +130,11 @@
             self._rejections,
             metrics,
         )
+        account_turns = AccountTurnPolicy()
         self._policies: tuple[EntryPolicy, ...] = (
             RankAdmission(view.rank_fact, self._costs, self._rejections, metrics),
+            # Last, so that a request that another policy rejects takes no turn.
+            account_turns,
         )
         self._gate: RoomGate = view.room
         self._selector = UpstreamSelector(
@@ -142,7 +146,7 @@
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
             self._gate,
-            EntryQueue(self._gate, settings.queue),
+            EntryQueue(self._gate, settings.queue, account_turns.choose_turn),
             metrics,
         )
         sender = UpstreamSender(
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -213,8 +213,7 @@
         """Return upstreams in the order in which a waiting request takes room."""
 
         def estimate_cost(record: UpstreamRecord) -> float:
-            expected = self._costs.estimate(call, record)
-            cost = expected.wait_s + expected.work_s
+            cost = self._costs.estimate_cost_s(call, record)
             if record.data_centre == self._settings.data_centre:
                 return cost
             return cost * self._settings.choice.remote_cost_factor
