--- a/packages/router/plantaincart_router/direct/tests/test_room_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_room_wait.py
@@ -30,7 +30,7 @@
 async def run_gated(gate, *upstreams, plan=None):
     async with run_gateway(*upstreams, plan=plan) as (gateway, view):
         selector = gateway._selector
-        gateway._gate = selector._gate = gate
+        gateway._gate = selector._gate = gateway.silence._gate = gate
         selector._queue = EntryQueue(gate, QueueBounds())
         yield gateway, view
 
