--- a/packages/core/plantaincart_core/accountshare.py
+++ b/packages/core/plantaincart_core/accountshare.py
@@ -28,6 +28,8 @@
 # few are left; and accounts a second that are looked through.
 PURGE_S = 0.25
 SEARCHED_PER_S = 10_000.0
+# Longest expected wait for a token in seconds.
+MAX_WAIT_S = 600.0
 
 
 @dataclass(slots=True)
@@ -304,7 +306,7 @@
         elif needed:
             rate_per_s = self._find_rate(account, bucket, now)
             missing = max(0.0, 1.0 - bucket.tokens) + max(0, bucket.unmet - 1)
-            wait_s = missing / max(rate_per_s, 1e-3)
+            wait_s = min(missing / max(rate_per_s, 1e-3), MAX_WAIT_S)
         is_scarce = bucket.tokens < SCARCE_LEVEL * capacity
         return AccountShare(account.name, tokens, level, round(wait_s, 3), is_scarce)
 
--- a/packages/router/plantaincart_router/direct/accountfact.py
+++ b/packages/router/plantaincart_router/direct/accountfact.py
@@ -144,6 +144,8 @@
 
     def record_report(self, member: Member, now: float) -> bool:
         report = member.report
+        if not self._fact.accounts.has_limits:
+            return False
         if report.leaving:
             self._issuer.remove(report.member)
         else:
