--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -28,6 +28,10 @@
         queue counts as a standing queue rather than as a short burst.
     max_observation_gap_s : float
         Longest time in seconds between two such observations.
+    uses_stated_slowdown : bool
+        Whether the lasting speed of upstreams is learnt apart from the slowdown of the
+        moment that they state, and costs are estimated by both. Otherwise costs follow
+        the mean slowness of answers.
     """
 
     smoothing: float = 0.2
@@ -37,6 +41,7 @@
     shed_slowness: float = 4.0
     standing_queue_s: float = 0.5
     max_observation_gap_s: float = 0.8
+    uses_stated_slowdown: bool = False
 
 
 class UpstreamLoad:
--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -110,8 +110,10 @@
 
     def record_shed(self, record: UpstreamRecord) -> None:
         """Learn from a request that was rejected although a slot was free."""
+        settings = self._settings.load
         self._view.loads.record_shed(record.id)
-        self._view.speeds.record_failure(record.id, self._settings.load.shed_slowness)
+        if settings.uses_stated_slowdown:
+            self._view.speeds.record_failure(record.id, settings.shed_slowness)
 
     def record_answer(
         self,
@@ -137,13 +139,15 @@
         queued : bool
             Whether the request probably waited for a slot.
         """
+        if not self._settings.load.uses_stated_slowdown:
+            load = None
         slowdown = 1.0 if load is None else load.slowdown
         speeds, now = self._view.speeds, monotonic()
         usual_s = self.estimate_work(call)
         if load is not None:
             work = 0.0 if queued else seconds / max(usual_s * slowdown, MIN_EXPECTED_S)
             speeds.record_statement(record.id, record.service, slowdown, now, work)
-        if not queued:
+        if not queued and self._settings.load.uses_stated_slowdown:
             speeds.record_answer(record.id, seconds, usual_s, slowdown)
         self._view.loads.record_work(
             call.route.name,
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -131,11 +131,13 @@
             metrics,
         )
         account_turns = AccountTurnPolicy()
-        self._policies: tuple[EntryPolicy, ...] = (
-            RankAdmission(view.rank_fact, self._costs, self._rejections, metrics),
-            # Last, so that a request that another policy rejects takes no turn.
-            account_turns,
-        )
+        # Turns are taken last, so that a request that is rejected takes none.
+        self._policies: tuple[EntryPolicy, ...] = (account_turns,)
+        if settings.admission.cuts_by_rank:
+            rank_admission = RankAdmission(
+                view.rank_fact, self._costs, self._rejections, metrics
+            )
+            self._policies = (rank_admission, account_turns)
         self._gate: RoomGate = view.room
         self._selector = UpstreamSelector(
             settings,
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -265,12 +265,16 @@
         later ones by the same time, so that all answers would be late.
     least_retry_s, most_retry_s : float
         Bounds in seconds of the retry delay that callers are sent.
+    cuts_by_rank : bool
+        Whether all instances admit the same share of each rank while a service is
+        short of room.
     """
 
     wait_shares: tuple[float, ...] = (2.2, 1.8, 1.5)
     standing_shares: tuple[float, ...] = (1.2, 1.1, 1.0)
     least_retry_s: float = 0.1
     most_retry_s: float = 2.0
+    cuts_by_rank: bool = False
 
     def choose_share(self, rank: int, standing: bool) -> float:
         """
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -154,15 +154,17 @@
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
             self.silence_fact,
-            self.rank_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
             LoadFact(self.loads, self.directory),
             self.account_fact,
             RoomFact(self.room, self.directory, self.find_policy, self.loads),
-            SpeedFact(self.speeds, self.directory),
             PaceFact(self.paces, pace_settings, self.directory, self.loads),
         )
+        if settings.load.uses_stated_slowdown:
+            self.facts += (SpeedFact(self.speeds, self.directory),)
+        if settings.admission.cuts_by_rank:
+            self.facts += (self.rank_fact,)
         self._changed = Event()
 
     @property
