--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -13,6 +13,7 @@
     ServicePolicy,
     WeightedService,
 )
+from plantaincart_core.upstreamload import LoadSettings
 from plantaincart_router.direct.interface import (
     AnswerMetadata,
     GrantCalls,
@@ -23,7 +24,11 @@
     RequestMetadata,
     UpstreamDisplacedError,
 )
-from plantaincart_router.direct.settings import CoordinationSettings, DirectSettings
+from plantaincart_router.direct.settings import (
+    AdmissionSettings,
+    CoordinationSettings,
+    DirectSettings,
+)
 from plantaincart_router.direct.store import (
     HistoryLostError,
     Store,
@@ -127,6 +132,12 @@
 
 
 def make_settings(name="router-1", peer_port=0, **fields):
+    """Return settings with all parts switched on."""
+    fields = {
+        "admission": AdmissionSettings(cuts_by_rank=True),
+        "load": LoadSettings(uses_stated_slowdown=True),
+        **fields,
+    }
     return DirectSettings(
         name=name,
         data_centre="a",
