Send both requests of the test of the longest pause before the first is rejected

It failed in 2 of 10 runs beside other load, with one request instead of two, on as well: the first rejection came before the second request had a connection, which then rightly isn't sent. The first answer was immediate, and is delayed by 0.2 s now; what is checked is the same.

--- a/packages/router/plantaincart_router/direct/tests/test_backoff.py
+++ b/packages/router/plantaincart_router/direct/tests/test_backoff.py
@@ -56,7 +56,8 @@
 
 async def test_longest_retry_after_counts():
     """Requests on two connections are rejected one after the other (BUDGET)."""
-    upstream = Upstream(not_run_for(0.9), not_run_for(0.1, delay_s=0.05))
+    # Both are sent before the first is rejected.
+    upstream = Upstream(not_run_for(0.9, delay_s=0.2), not_run_for(0.1, delay_s=0.25))
     plan = make_plan(idempotent=False, timeout_s=2.0)
     async with run_gateway(upstream, plan=plan) as (gateway, _):
         await gather(
