--- a/packages/core/plantaincart_core/roomshare.py
+++ b/packages/core/plantaincart_core/roomshare.py
@@ -233,6 +233,10 @@
                 del self._peaks[service]
         return wants
 
+    def count_waiting(self, upstream: str) -> int:
+        """Return the requests that wait here for a unit of an upstream."""
+        return self._waiting[upstream]
+
     def list_waiting(self) -> dict[str, int]:
         """Return the requests that wait here, by upstream."""
         return dict(self._waiting)
