--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -8,7 +8,7 @@
 from uuid import uuid4
 
 from plantaincart_core.era import may_claim_term, next_epoch
-from plantaincart_schema.codec import decode_msgpack, encode_msgpack
+from plantaincart_schema.codec import decode_msgpack, encode_changed
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
@@ -395,7 +395,7 @@
         if self.coordinator is not None:
             self.coordinator.receive(report)
         elif self._notice_socket is not None:
-            self._notice_socket.send([encode_msgpack(report)])
+            self._notice_socket.send([encode_changed(report)])
 
     def _report_soon(self) -> None:
         """Report now, unless the last report has only just been sent."""
--- a/packages/router/plantaincart_router/direct/noticecodec.py
+++ b/packages/router/plantaincart_router/direct/noticecodec.py
@@ -4,7 +4,12 @@
 from dataclasses import replace
 from zlib import compress
 
-from plantaincart_schema.codec import decode_msgpack, decompress, encode_msgpack
+from plantaincart_schema.codec import (
+    decode_msgpack,
+    decompress,
+    encode_changed,
+    encode_msgpack,
+)
 from plantaincart_schema.generated.direct import (
     ChangedRow,
     CoordinatorNotice,
@@ -121,7 +126,7 @@
     list of bytes
         Frames of the message.
     """
-    data = encode_msgpack(notice)
+    data = encode_changed(notice)
     packed_bytes = len(notice.packed_changes or b"")
     packed_bytes += sum(len(change.packed_rows or b"") for change in notice.tables)
     if len(data) - packed_bytes <= MIN_COMPRESSED_BYTES:
--- a/packages/schema/plantaincart_schema/codec.py
+++ b/packages/schema/plantaincart_schema/codec.py
@@ -1,5 +1,6 @@
 """Encoding and type-checked decoding of the generated data classes."""
 
+from dataclasses import MISSING, fields
 from typing import Any, TypeVar
 from zlib import decompressobj
 from zlib import error as CompressionError  # noqa: N812
@@ -16,6 +17,7 @@
     "decode_json",
     "decode_msgpack",
     "decompress",
+    "encode_changed",
     "encode_json",
     "encode_msgpack",
 ]
@@ -28,6 +30,7 @@
 _packed_encoder = PackedEncoder()
 _json_decoders: dict[type, JsonDecoder[Any]] = {}
 _packed_decoders: dict[type, PackedDecoder[Any]] = {}
+_defaults: dict[type, dict[str, object]] = {}
 
 
 def encode_json(value: object) -> bytes:
@@ -100,6 +103,53 @@
     return _packed_encoder.encode(value)
 
 
+def encode_changed(value: Any) -> bytes:
+    """
+    Encode a data class as MessagePack, without the fields that have their default.
+
+    `decode_msgpack` restores them, at an earlier or later build as well.
+
+    Parameters
+    ----------
+    value : object
+        Instance of a generated data class.
+
+    Returns
+    -------
+    bytes
+        MessagePack map of its other fields.
+
+    Examples
+    --------
+    >>> from plantaincart_schema.generated.direct import LimitReport
+    >>> report = LimitReport(upstream="u1", born=5, age_s=0.5)
+    >>> data = encode_changed(report)
+    >>> b"waiting" in data, decode_msgpack(data, LimitReport) == report
+    (False, True)
+    """
+    data_class = type(value)
+    defaults = _defaults.get(data_class)
+    if defaults is None:
+        defaults = _defaults[data_class] = _list_defaults(data_class)
+    changed = {
+        name: present
+        for name, default in defaults.items()
+        if (present := getattr(value, name)) != default
+    }
+    return _packed_encoder.encode(changed)
+
+
+def _list_defaults(data_class: type) -> dict[str, object]:
+    """Return the default of each field; MISSING, which equals nothing, for none."""
+    return {
+        item.name: item.default
+        if item.default_factory is MISSING
+        # Not shared with any instance, and never changed.
+        else item.default_factory()
+        for item in fields(data_class)
+    }
+
+
 def decode_msgpack(data: bytes, data_class: type[T]) -> T:
     """
     Decode MessagePack to a data class and check its types.
