Touch only the counts that changed when a report is added to the sums

Change: sums are changed by the difference to the report before; the room of large fleets is computed less often.

--- a/packages/core/plantaincart_core/roomaccount.py
+++ b/packages/core/plantaincart_core/roomaccount.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from plantaincart_core.countsum import replace_counts
 from plantaincart_core.room import RoomSettings
 
 __all__ = ["MemberRoom", "RoomAccount", "RoomLease", "UpstreamRoom"]
@@ -184,8 +185,8 @@
             lease = self._leases[name]
             self._replace_report(lease, MemberRoom())
             if now - lease.heard_at > self._lease_s:
-                self.taken.subtract(lease.taken)
-                self.planned.subtract(lease.planned)
+                replace_counts(self.taken, lease.taken, {})
+                replace_counts(self.planned, lease.planned, {})
                 del self._leases[name]
         for counts in (self.taken, self.planned, self.wants, self.demand):
             for name in [name for name, count in counts.items() if count == 0]:
@@ -235,12 +236,10 @@
         lease.planned[name] = present
 
     def _replace_report(self, lease: RoomLease, report: MemberRoom) -> None:
-        for change, counted in ((-1, lease.report), (1, report)):
-            for name, count in counted.wants.items():
-                self.wants[name] += change * count
-            for counts in (counted.in_use, counted.waiting):
-                for name, count in counts.items():
-                    self.demand[name] += change * count
+        earlier = lease.report
+        replace_counts(self.wants, earlier.wants, report.wants)
+        replace_counts(self.demand, earlier.in_use, report.in_use)
+        replace_counts(self.demand, earlier.waiting, report.waiting)
         lease.report = report
 
     def _update(self, lease: RoomLease) -> None:
@@ -250,10 +249,8 @@
         taken = dict(planned)
         if lease.report.knows_room:
             _raise_to(taken, lease.bound)
-        self.planned.subtract(lease.planned)
-        self.planned.update(planned)
-        self.taken.subtract(lease.taken)
-        self.taken.update(taken)
+        replace_counts(self.planned, lease.planned, planned)
+        replace_counts(self.taken, lease.taken, taken)
         lease.planned, lease.taken = planned, taken
 
 
--- a/packages/router/plantaincart_router/direct/loadfact.py
+++ b/packages/router/plantaincart_router/direct/loadfact.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from plantaincart_core.countsum import replace_counts
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.loadcodec import pack_loads, unpack_loads
 from plantaincart_core.upstreamload import UpstreamLoads
@@ -83,8 +84,8 @@
 
     def record_report(self, member: Member, now: float) -> bool:
         report = member.report
-        self._in_flight.subtract(self._reported.get(report.member, {}))
-        self._in_flight.update(report.in_flight)
+        earlier = self._reported.get(report.member, {})
+        replace_counts(self._in_flight, earlier, report.in_flight)
         self._reported[report.member] = report.in_flight
         self._tracker.record(report.slowness)
         return False
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -20,8 +20,10 @@
 
 __all__ = ["RoomFact"]
 
-# Seconds for which the room of all upstreams is computed once.
+# Seconds for which the room of all upstreams is computed once, and the same for each
+# upstream of a large fleet, where it would take much of a coordinator's processor.
 ROOMS_S = 0.25
+ROOMS_S_PER_UPSTREAM = 0.0005
 # Members that an upstream must have asked for a long pause until no units are given
 # there; a single one may have been told so by mistake.
 MIN_BACKED_OFF = 2
@@ -181,7 +183,8 @@
         return estimate
 
     def _update_rooms(self, now: float) -> None:
-        if now - self._updated_at < ROOMS_S:
+        interval_s = max(ROOMS_S, ROOMS_S_PER_UPSTREAM * len(self._directory))
+        if now - self._updated_at < interval_s:
             return
         self._updated_at = now
         by_service: dict[str, list[UpstreamRecord]] = {}
