--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -28,9 +28,14 @@
         queue counts as a standing queue rather than as a short burst.
     max_observation_gap_s : float
         Longest time in seconds between two such observations.
-    uses_stated_slowdown : bool
-        Whether the lasting speed of upstreams is learnt apart from the slowdown of the
-        moment that they state, and costs are estimated by both. Otherwise costs follow
+    distributes_keys_by_speed : bool
+        Whether owners get keys by their lasting speed, learnt apart from the slowdown
+        of the moment that they state; otherwise by the mean slowness of answers.
+    chooses_by_slowdown : bool
+        Whether upstreams without keys are chosen by lasting speed and slowdown of the
+        moment; otherwise by the mean slowness of answers.
+    admits_keys_by_speed : bool
+        Whether requests are admitted at owners of keys by lasting speed; otherwise by
         the mean slowness of answers.
     """
 
@@ -41,7 +46,18 @@
     shed_slowness: float = 4.0
     standing_queue_s: float = 0.5
     max_observation_gap_s: float = 0.8
-    uses_stated_slowdown: bool = False
+    distributes_keys_by_speed: bool = True
+    chooses_by_slowdown: bool = False
+    admits_keys_by_speed: bool = False
+
+    @property
+    def learns_speed(self) -> bool:
+        """Whether any decision uses the lasting speed of upstreams."""
+        return (
+            self.distributes_keys_by_speed
+            or self.chooses_by_slowdown
+            or self.admits_keys_by_speed
+        )
 
 
 class UpstreamLoad:
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -74,6 +74,7 @@
     ) -> None:
         self._service = service
         self._rebalance_settings = settings.spread
+        self._load_settings = settings.load
         self._view = view
         self._granter = granter
         self._registry = registry
@@ -103,7 +104,9 @@
             )
             is_failing = self._granter.is_failing(record.id, record.born)
             # Keys don't follow the slowdown of a moment, since a move costs callers.
-            slowness = self._view.speeds.find_lasting(record.id)
+            slowness = None
+            if self._load_settings.distributes_keys_by_speed:
+                slowness = self._view.speeds.find_lasting(record.id)
             if slowness is None:
                 slowness = self._view.loads.get(record.id).slowness
             slowness = max(MIN_SLOWNESS, slowness)
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -161,7 +161,7 @@
             RoomFact(self.room, self.directory, self.find_policy, self.loads),
             PaceFact(self.paces, pace_settings, self.directory, self.loads),
         )
-        if settings.load.uses_stated_slowdown:
+        if settings.load.learns_speed:
             self.facts += (SpeedFact(self.speeds, self.directory),)
         if settings.admission.cuts_by_rank:
             self.facts += (self.rank_fact,)
