Call on a new connection after a kept one was lost

The client kept up to eight of one upstream, and each of five attempts to grant keys, and the release after them, was made on another one of these. Connections that were idle for longer than a lost one are closed now. The test fails without the change.

--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -3,7 +3,12 @@
 from asyncio import get_running_loop
 from collections.abc import Sequence
 
-from plantaincart_router.exception import AnswerTimeoutError, ConnectFailedError
+from plantaincart_router.exception import (
+    AnswerLostError,
+    AnswerTimeoutError,
+    ConnectFailedError,
+    SendFailedError,
+)
 from plantaincart_router.http.answerbuffers import AnswerBuffers
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import Header, HttpAnswer, HttpRequest
@@ -30,8 +35,9 @@
 
     Notes
     -----
-    A call that times out closes all idle connections, since a network fault
-    may have broken them as well. No call is sent twice.
+    A call that times out or loses a kept connection closes all idle connections. A
+    network fault may have broken them as well, and a server that has forgotten the one
+    used last has forgotten those that were idle for longer. No call is sent twice.
     """
 
     def __init__(
@@ -97,10 +103,14 @@
         request = HttpRequest(method, target, tuple(headers), body)
         self._calls_in_progress += 1
         try:
-            connection = await self._acquire_connection(
-                deadline - loop.time(), reuse_only
-            )
-            answer = await connection.exchange(request, deadline - loop.time())
+            kept = self._pop_idle()
+            connection = kept or await self._open(deadline - loop.time(), reuse_only)
+            try:
+                answer = await connection.exchange(request, deadline - loop.time())
+            except (AnswerLostError, SendFailedError):
+                if kept is not None:
+                    self.close()
+                raise
         except AnswerTimeoutError:
             self.close()
             raise
@@ -118,13 +128,14 @@
         for connection in idle:
             connection.close()
 
-    async def _acquire_connection(
-        self, timeout_s: float, reuse_only: bool
-    ) -> HttpConnection:
+    def _pop_idle(self) -> HttpConnection | None:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
+        return None
+
+    async def _open(self, timeout_s: float, reuse_only: bool) -> HttpConnection:
         if reuse_only:
             raise ConnectFailedError(f"{self._host}:{self._port}: no connection kept")
         return await HttpConnection.open(
--- a/packages/router/plantaincart_router/tests/test_http_client.py
+++ b/packages/router/plantaincart_router/tests/test_http_client.py
@@ -298,3 +298,36 @@
     with Runner(loop_factory=make_loop) as runner:
         runner.run(check())
     assert received[0].startswith(b"GET /a ")
+
+
+async def test_lost_answer_on_a_kept_connection_closes_those_idle_for_longer(
+    start_server_with: StartServer, wait_until: WaitUntil
+) -> None:
+    """A server forgets all idle connections, and resets each when it is used."""
+    writers: list[StreamWriter] = []
+    answering, forgotten = Event(), Event()
+
+    async def handle(reader: StreamReader, writer: StreamWriter) -> None:
+        writers.append(writer)
+        is_kept = False
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            if is_kept and forgotten.is_set():
+                break
+            await answering.wait()
+            writer.write(OK)
+            is_kept = True
+        writer.close()
+
+    client = HttpClient(HOST, await start_server_with(handle), 5)
+    calls = [create_task(client.request("GET", "/")) for _ in range(4)]
+    await wait_until(lambda: len(writers) == 4)
+    answering.set()
+    for call in calls:
+        assert (await call).body == b"ok"
+    forgotten.set()
+    with pytest.raises(AnswerLostError):
+        await client.request("GET", "/")
+    assert (await client.request("GET", "/")).body == b"ok"
+    assert len(writers) == 5
+    client.close()
