Try upstreams again that failed to accept keys

An upstream counts as failing after two failed calls until one succeeds. It is tried now with a single key without load, after a pause that grows with the failed calls. Not measured yet.

--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -46,7 +46,7 @@
     shed_slowness: float = 4.0
     standing_queue_s: float = 0.5
     max_observation_gap_s: float = 0.8
-    distributes_keys_by_speed: bool = True
+    distributes_keys_by_speed: bool = False
     chooses_by_slowdown: bool = False
     admits_keys_by_speed: bool = False
 
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -29,6 +29,10 @@
 # First and longest delay in seconds before a failed release is retried.
 FIRST_RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 0.6
+# Seconds for which a failing process isn't called again, for each failed call in a row,
+# and at most.
+PAUSE_S_PER_FAILURE = 0.4
+MAX_PAUSE_S = 8.0
 
 
 class Granter:
@@ -82,6 +86,7 @@
         self._tasks: dict[tuple[str, int, int], Task[None]] = {}
         self._grant_expiries: dict[tuple[str, int], float] = {}
         self._failure_counts: dict[tuple[str, int], int] = {}
+        self._failed_at: dict[tuple[str, int], float] = {}
         self._locks: dict[tuple[str, int], Lock] = {}
         self.unrenewed: list[KeyRange] = []
         self.refusing_processes: set[tuple[str, int]] = set()
@@ -124,6 +129,18 @@
         """Whether the last two calls to a process failed."""
         return self._failure_counts.get((upstream, born), 0) > 1
 
+    def may_be_tried(self, upstream: str, born: int, now: float) -> bool:
+        """
+        Whether a failing process may be called again to learn if it answers.
+
+        A process without grants isn't called otherwise, and would count as failing for
+        as long as it lives. The pause grows with the number of failed calls.
+        """
+        process = (upstream, born)
+        failures = self._failure_counts.get(process, 0)
+        pause_s = min(MAX_PAUSE_S, PAUSE_S_PER_FAILURE * failures)
+        return failures > 1 and now - self._failed_at[process] >= pause_s
+
     def keep_renewing(
         self, service: str, record: UpstreamRecord, key_range: KeyRange
     ) -> None:
@@ -211,6 +228,7 @@
             if not error.may_have_started:
                 self._grant_expiries[process] = previous_expiry
             self._failure_counts[process] = self._failure_counts.get(process, 0) + 1
+            self._failed_at[process] = monotonic()
             if self._failure_counts[process] in (1, 2):
                 write_event(
                     "grant_failed",
@@ -222,6 +240,7 @@
                 )
             return False
         self._failure_counts.pop(process, None)
+        self._failed_at.pop(process, None)
         return True
 
     async def _call_upstream(
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -9,6 +9,7 @@
 from plantaincart_core.keybalance import plan_key_moves
 from plantaincart_core.keyload import KeyLoads
 from plantaincart_core.keymove import KeyMove, Owner
+from plantaincart_core.keytrial import plan_trial_moves
 from plantaincart_core.ownermap import KeyRange, OwnerMap
 from plantaincart_core.rangemerge import plan_merges
 from plantaincart_core.rangeset import RangeSet
@@ -209,7 +210,18 @@
         moves += plan_key_moves(
             ranges, loads, owners, self._key_loads.request_load, settings, moving
         )
-        return moves + plan_merges(ranges, loads, owners, settings)
+        moves += plan_merges(ranges, loads, owners, settings)
+        return moves + plan_trial_moves(ranges, loads, self._list_tried(owners), moving)
+
+    def _list_tried(self, owners: Mapping[str, Owner]) -> list[str]:
+        """List the upstreams that failed to accept keys and may be called again."""
+        now = monotonic()
+        return [
+            owner.id
+            for owner in owners.values()
+            if owner.capacity > NO_CAPACITY
+            and self._granter.may_be_tried(owner.id, owner.born, now)
+        ]
 
     def _plan_for_idle_owner(
         self, ranges: OwnerMap, owners: Mapping[str, Owner]
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -306,3 +306,38 @@
         row = placement.describe_row(coordinator.epoch, 0)
         assert "u1" not in {stored.previous for stored in row.ranges}
         old.follower.close()
+
+
+async def request_all_keys(system):
+    """Let requests for all sample keys arrive, evenly."""
+    while True:
+        for instance in system.instances.values():
+            for key in SAMPLE_KEYS:
+                instance.view.record_key_load("ledger", key, 0.01)
+        await sleep(0.05)
+
+
+async def test_upstream_that_failed_to_accept_keys_gets_some_when_it_answers_again():
+    """
+    An upstream that owns no keys isn't called, so that it must be tried again.
+
+    Upstreams of a data centre that was closed for some time may reset the first grants,
+    and would be left without keys for as long as they live.
+    """
+    async with run_system(get_running_loop()) as system:
+        failing = system.upstreams["u2"]
+        requests = create_task(request_all_keys(system))
+        failing.reachable = False
+        await wait_for(lambda: not any(failing.owns(key) for key in SAMPLE_KEYS))
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree())
+        # Trials that fail leave all requested keys with their owners.
+        watched_until = monotonic() + 1.5
+        while monotonic() < watched_until:
+            assert system.all_keys_owned()
+            await sleep(0.02)
+        failing.reachable = True
+        await wait_for(
+            lambda: sum(failing.owns(key) for key in SAMPLE_KEYS) > 2, limit_s=10.0
+        )
+        requests.cancel()
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree())
--- a/packages/router/plantaincart_router/direct/tests/test_granter.py
+++ b/packages/router/plantaincart_router/direct/tests/test_granter.py
@@ -4,7 +4,11 @@
 from time import monotonic
 
 from plantaincart_core.ownermap import KeyRange
-from plantaincart_router.direct.granter import Granter
+from plantaincart_router.direct.granter import (
+    MAX_PAUSE_S,
+    PAUSE_S_PER_FAILURE,
+    Granter,
+)
 from plantaincart_router.direct.tests.fakes import (
     FAST,
     MemoryGrants,
@@ -94,3 +98,23 @@
     assert not await first
     assert not await second
     assert [keys for _, _, keys, _ in calls.calls] == [GRANTED]
+
+
+async def test_failing_process_may_be_tried_after_a_pause_that_grows():
+    upstream = MemoryUpstream("u0", reachable=False)
+    granter = Granter(MemoryGrants({"u0": upstream}), FAST, 10.0)
+    record, started_at = make_record("u0"), monotonic()
+    await granter.grant(record, GRANTED)
+    assert not granter.may_be_tried("u0", 1, started_at + 60.0)
+    await granter.grant(record, GRANTED)
+    assert granter.is_failing("u0", 1)
+    assert not granter.may_be_tried("u0", 1, started_at + 1.5 * PAUSE_S_PER_FAILURE)
+    assert granter.may_be_tried("u0", 1, started_at + 2.5 * PAUSE_S_PER_FAILURE)
+    for _ in range(100):
+        await granter.grant(record, GRANTED)
+    assert not granter.may_be_tried("u0", 1, started_at + 0.9 * MAX_PAUSE_S)
+    assert granter.may_be_tried("u0", 1, monotonic() + MAX_PAUSE_S)
+    upstream.reachable = True
+    await granter.grant(record, GRANTED)
+    assert not granter.is_failing("u0", 1)
+    assert not granter.may_be_tried("u0", 1, monotonic() + 60.0)
