Don't refuse a waiting request when its timer runs a little early

A request that waits for room looks at the upstreams again every 0.15 s. The selector told a request that was displaced from one whose time for a look had come by the clock; as the timer is set from two readings of the clock, it may end some microseconds before the time compared with, and the request was refused as if more urgent ones had displaced it, after 0.15, 0.30 or 0.45 s although it had time left.

The queue now says itself why a wait has ended. The event request_ended has the return time, the time left, and whether the caller has come back.

--- a/packages/router/plantaincart_router/direct/entryqueue.py
+++ b/packages/router/plantaincart_router/direct/entryqueue.py
@@ -149,6 +149,11 @@
         UpstreamRecord or None
             Upstream at which a unit of room was taken; None if there was none in time,
             the queue is full of more urgent requests, or the caller has left.
+
+        Raises
+        ------
+        TimeoutError
+            If `until` came before the latest time, so that it may wait again.
         """
         loop = get_running_loop()
         waiting = self._describe(call, latest_at)
@@ -164,7 +169,12 @@
             async with timeout_at(loop.time() + max(0.0, until - monotonic())):
                 return await entry.future
         except TimeoutError:
-            return self._find_result(entry)
+            # The time alone doesn't tell why a wait has ended: timers may run early.
+            if not entry.future.done() or entry.future.cancelled():
+                if until < latest_at:
+                    raise
+                return None
+            return entry.future.result()
         except BaseException:
             taken = self._find_result(entry)
             if taken is not None:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -210,7 +210,12 @@
                 self._accounts.give_back(call)
             self._record_end(call, refusal)
             self._log_request_end(
-                metadata, call, refusal.status, refusal.reason.value, refusal.detail
+                metadata,
+                call,
+                refusal.status,
+                refusal.reason.value,
+                refusal.detail,
+                refusal.retry_after_s,
             )
             return self._header_codec.write_refusal(refusal, metadata.request_id)
         finally:
@@ -429,6 +434,7 @@
         status: int,
         outcome: str,
         detail: str,
+        retry_after_s: float = 0.0,
     ) -> None:
         if call is None:
             self._metrics.count("requests", "", str(status), outcome)
@@ -455,6 +461,9 @@
             detail=detail or None,
             attempts=call.attempts,
             upstream=call.upstream or None,
+            returning=call.is_returning or None,
+            left_ms=round(call.remaining_s * 1000.0),
+            retry_ms=round(retry_after_s * 1000.0) or None,
             ms=round(elapsed_s * 1000.0),
             plan=self._view.routing_config.version
             if self._view.routing_config
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -148,17 +148,19 @@
                 raise self._rejections.refuse_full(
                     call, record, now - started_at, waiting_s
                 )
-            taken = await self._queue.wait(call, records, latest_at, until)
-            if taken is not None:
+            try:
+                taken = await self._queue.wait(call, records, latest_at, until)
+            except TimeoutError:
+                pass
+            else:
+                if taken is None:
+                    raise self._rejections.refuse_full(
+                        call, record, monotonic() - started_at, waiting_s
+                    )
                 if self._may_still_send(call, taken):
                     self._record_wait(call, taken, monotonic() - started_at)
                     return taken
                 self._gate.release(taken)
-            elif monotonic() < until:
-                # It was displaced by more urgent requests, or its caller has left.
-                raise self._rejections.refuse_full(
-                    call, record, monotonic() - started_at, waiting_s
-                )
             if not call.service.keyed or not self._may_still_send(call, record):
                 record, others = await self._find_candidates(call)
         return record
--- a/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
@@ -1,6 +1,6 @@
 """Requests through the gateway while upstreams have no room."""
 
-from asyncio import create_task, gather, sleep
+from asyncio import create_task, gather, sleep, timeout_at
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from time import monotonic
@@ -9,7 +9,9 @@
 from plantaincart_core.ownermap import KeyRange
 from plantaincart_core.rank import Rank
 from plantaincart_core.waitingorder import QueueBounds
+from plantaincart_router.direct import entryqueue
 from plantaincart_router.direct.entryqueue import EntryQueue
+from plantaincart_router.direct.selector import RECHECK_S
 from plantaincart_router.direct.tests.fakes import make_notice, make_plan
 from plantaincart_router.direct.tests.test_entryqueue import FakeGate
 from plantaincart_router.direct.tests.test_gateway import (
@@ -47,6 +49,20 @@
     assert gate.room == {"u0": 1}
 
 
+@pytest.mark.parametrize("keyed", [True, False])
+async def test_timer_that_runs_early_ends_no_wait(keyed, monkeypatch):
+    """Room comes while the request may still be served (pattern burst)."""
+    monkeypatch.setattr(entryqueue, "timeout_at", lambda at: timeout_at(at - 0.005))
+    gate = FakeGate()
+    upstream = Upstream()
+    async with run_gated(gate, upstream, plan=make_plan(keyed=keyed)) as (gateway, _):
+        task = create_task(call_gateway(gateway, remaining_s=2.0))
+        await sleep(3.5 * RECHECK_S)
+        assert not task.done()
+        gate.add("u0")
+        assert (await task).status == 200
+
+
 async def test_request_for_which_no_room_is_expected_is_refused_at_once():
     """Three times the room is asked for (pattern burst)."""
     gate = FakeGate()
