Count rank at the single owner, and the owner's queue in the latest moment

Requests with keys were admitted up to the queue that their own target allowed. A less urgent route with a longer target so filled an owner's queue beyond what a more urgent one could wait for (document-pack, target 2.8 s, beside quote-lookup, 0.6 s). A request now joins the queue of an owner only up to half of what any more urgent route seen in the last 2 s could bear; of those put back a quarter of the fair share is admitted, so that no rank starves.

--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -1,11 +1,13 @@
 """Admission of requests to the upstream that would run them."""
 
 from abc import ABC, abstractmethod
+from dataclasses import replace
 from time import monotonic
 
 from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.verdict import Refusal
+from plantaincart_core.waitbound import WaitBounds
 
 from plantaincart_router.direct.call import Call
 from plantaincart_router.direct.cost import CostEstimator
@@ -78,6 +80,7 @@
         self._view = view
         self._costs = costs
         self._rejections = rejections
+        self._bounds = WaitBounds()
 
     def assess(
         self, call: Call, record: UpstreamRecord
@@ -105,6 +108,8 @@
             If it isn't admitted.
         """
         expected, admission = self.assess(call, record)
+        if call.service.keyed:
+            admission = self._put_back(call, record, expected, admission)
         if not admission.admitted:
             raise self._rejections.refuse_overloaded(call, record, expected, admission)
 
@@ -130,4 +135,36 @@
         share = self._settings.admission.choose_share(call.route.priority, standing)
         expected = self._costs.estimate(call, record)
         target_at = call.started_at + share * call.route.target_s
-        return min(target_at, call.deadline_at) - expected.work_s
+        latest_at = min(target_at, call.deadline_at) - expected.work_s
+        if call.service.keyed:
+            # A unit of room is a place in the owner's queue, not yet a free slot.
+            latest_at -= expected.wait_s
+        return latest_at
+
+    def _put_back(
+        self,
+        call: Call,
+        record: UpstreamRecord,
+        expected: LatencyEstimate,
+        admission: Admission,
+    ) -> Admission:
+        """Admit a request to a short owner unless more urgent ones need the queue."""
+        now, service = monotonic(), call.service.name
+        target_s, work_s = call.route.target_s, self._costs.estimate_work(call)
+        self._bounds.record(service, call.route.name, call.rank, target_s, work_s, now)
+        if not admission.admitted:
+            self._bounds.record_end(service, is_admitted=False)
+            return admission
+        standing = self._view.loads.has_standing_queue(record.id, now)
+        share = self._settings.admission.choose_share(call.route.priority, standing)
+        slowness = expected.work_s / max(work_s, 1e-4)
+        need = (service, call.rank)
+        if self._bounds.admits(*need, expected.wait_s, share, slowness, now):
+            return admission
+        longest_s = self._bounds.find_longest_s(*need, share, slowness, now)
+        return replace(
+            admission,
+            admitted=False,
+            max_latency_s=longest_s + expected.work_s,
+            retry_after_s=round(expected.wait_s - longest_s, 3),
+        )
--- a/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
@@ -146,6 +146,37 @@
     assert (len(old.requests), len(new.requests)) == (0, 1)
 
 
+async def test_owner_keeps_room_for_urgent_requests():
+    """A route with a long target sends to an owner that is short (pattern hot_key)."""
+    upstream = Upstream(*[answer()] * 20)
+    plan = make_plan(timeout_s=5.0)
+    (route,) = plan.routes
+    urgent = replace(route, name="urgent", host="u.example", priority=0, target_s=0.5)
+    patient = replace(route, priority=2, target_s=4.0)
+    plan = replace(plan, routes=(urgent, patient))
+    async with run_gateway(upstream, plan=plan) as (gateway, view):
+
+        async def count_served(host, count):
+            served = 0
+            for at in range(count):
+                # Half of what the urgent route can wait for lies in the queue.
+                slots = view.directory.get("u0").slots
+                view.loads.record_in_flight("u0", 6 * slots, slots, monotonic())
+                response = await call_gateway(
+                    gateway, host=host, request_id=f"{host}{at}", remaining_s=5.0
+                )
+                served += response.status == 200
+            return served
+
+        for name in ("urgent", "lookup"):
+            view.loads._work_s[name] = 0.1
+        assert await count_served("a.example", 1) == 1
+        assert await count_served("u.example", 1) == 1
+        served = await count_served("a.example", 10)
+        assert 1 <= served <= 4
+        assert await count_served("u.example", 2) == 2
+
+
 @pytest.mark.parametrize("priority", [1, 2])
 async def test_cut_refuses_its_share_at_once(priority):
     """A rank is admitted by half while its service is short (pattern burst)."""
