--- a/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
@@ -1,6 +1,6 @@
 """Requests through the gateway while upstreams have no room."""
 
-from asyncio import create_task, gather, sleep
+from asyncio import create_task, gather, sleep, timeout_at
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from time import monotonic
@@ -9,7 +9,9 @@
 from plantaincart_core.ownermap import KeyRange
 from plantaincart_core.rank import Rank
 from plantaincart_core.waitingorder import QueueBounds
+from plantaincart_router.direct import entryqueue
 from plantaincart_router.direct.entryqueue import EntryQueue
+from plantaincart_router.direct.selector import RECHECK_S
 from plantaincart_router.direct.tests.fakes import make_notice, make_plan
 from plantaincart_router.direct.tests.test_entryqueue import FakeGate
 from plantaincart_router.direct.tests.test_gateway import (
@@ -47,6 +49,20 @@
     assert gate.room == {"u0": 1}
 
 
+@pytest.mark.parametrize("keyed", [True, False])
+async def test_timer_that_runs_early_ends_no_wait(keyed, monkeypatch):
+    """Room comes while the request may still be served (pattern burst)."""
+    monkeypatch.setattr(entryqueue, "timeout_at", lambda at: timeout_at(at - 0.005))
+    gate = FakeGate()
+    upstream = Upstream()
+    async with run_gated(gate, upstream, plan=make_plan(keyed=keyed)) as (gateway, _):
+        task = create_task(call_gateway(gateway, remaining_s=2.0))
+        await sleep(3.5 * RECHECK_S)
+        assert not task.done()
+        gate.add("u0")
+        assert (await task).status == 200
+
+
 async def test_request_for_which_no_room_is_expected_is_refused_at_once():
     """Three times the room is asked for (pattern burst)."""
     gate = FakeGate()
@@ -130,6 +146,37 @@
     assert (len(old.requests), len(new.requests)) == (0, 1)
 
 
+async def test_owner_keeps_room_for_urgent_requests():
+    """A route with a long target sends to an owner that is short (pattern hot_key)."""
+    upstream = Upstream(*[answer()] * 20)
+    plan = make_plan(timeout_s=5.0)
+    (route,) = plan.routes
+    urgent = replace(route, name="urgent", host="u.example", priority=0, target_s=0.5)
+    patient = replace(route, priority=2, target_s=4.0)
+    plan = replace(plan, routes=(urgent, patient))
+    async with run_gateway(upstream, plan=plan) as (gateway, view):
+
+        async def count_served(host, count):
+            served = 0
+            for at in range(count):
+                # Half of what the urgent route can wait for lies in the queue.
+                slots = view.directory.get("u0").slots
+                view.loads.record_in_flight("u0", 6 * slots, slots, monotonic())
+                response = await call_gateway(
+                    gateway, host=host, request_id=f"{host}{at}", remaining_s=5.0
+                )
+                served += response.status == 200
+            return served
+
+        for name in ("urgent", "lookup"):
+            view.loads._work_s[name] = 0.1
+        assert await count_served("a.example", 1) == 1
+        assert await count_served("u.example", 1) == 1
+        served = await count_served("a.example", 10)
+        assert 1 <= served <= 4
+        assert await count_served("u.example", 2) == 2
+
+
 @pytest.mark.parametrize("priority", [1, 2])
 async def test_cut_refuses_its_share_at_once(priority):
     """A rank is admitted by half while its service is short (pattern burst)."""
