Cut by rank only where a shortage lasts, by the most that upstreams finish

What upstreams finish follows what they began to run.

A service is now short if it is so for two steps, and its room is the most that was finished in one of the last four, and 5 % more.

--- a/packages/core/plantaincart_core/rankcut.py
+++ b/packages/core/plantaincart_core/rankcut.py
@@ -1,5 +1,6 @@
 """Share of the requests of each rank that a service can admit while it is short."""
 
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -28,6 +29,13 @@
 # Least share of the requests that must be more urgent than the least urgent ones for a
 # cut: among requests of one rank, the upstreams' own loads decide better.
 MIN_URGENT_SHARE = 0.01
+# Successive steps in which a service must be short before a cut. What upstreams finish
+# follows what they began to run, so in the first step it says nothing of the room.
+SHORT_STEPS = 2
+# Steps whose greatest rate of finished requests is the room of a service that is short.
+ROOM_STEPS = 4
+# Share of the room by which more is admitted, so that upstreams have requests waiting.
+SPARE_SHARE = 0.05
 # Share of its requests that each rank gets at least, relative to that of all ranks.
 FLOOR_SHARE = 0.3
 # Sums of shares such as 0.1 fall short of 1 by rounding.
@@ -125,17 +133,19 @@
 
     Notes
     -----
-    While requests are turned away although they were admitted, the room is what
-    upstreams finish. Otherwise it grows with each step until it suffices for all that
-    is asked, or until requests are turned away again. It thus follows upstreams that
-    get faster, and the queues at upstreams don't run empty.
+    While requests are turned away although they were admitted, the room is the most
+    that upstreams have finished in a step lately, and a little more. Otherwise it grows
+    with each step until it suffices for all that is asked, or until requests are turned
+    away again. It thus follows upstreams that get faster, and the queues at upstreams
+    don't run empty.
     """
 
     def __init__(self) -> None:
         self.shares: dict[Rank, float] = {}
         self._counts: dict[Rank, RankCount] = {}
         self._asked_per_s: dict[Rank, float] = {}
-        self._served_per_s = 0.0
+        self._served_per_s: deque[float] = deque(maxlen=ROOM_STEPS)
+        self._short_steps = 0
         self._room_per_s: float | None = None
         self._growth = MIN_GROWTH
         self._step_at: float | None = None
@@ -202,8 +212,7 @@
             mean = self._asked_per_s.get(rank, per_s)
             asked_weight = max(weight, RISE_WEIGHT) if per_s > mean else weight
             self._asked_per_s[rank] = mean + asked_weight * (per_s - mean)
-        served_per_s = total.served / elapsed_s
-        self._served_per_s += weight * (served_per_s - self._served_per_s)
+        self._served_per_s.append(total.served / elapsed_s)
 
     def _update_room(self, total: RankCount, busy_share: float) -> None:
         asked_per_s = sum(self._asked_per_s.values())
@@ -211,11 +220,12 @@
             busy_share >= SHORT_BUSY_SHARE
             and total.refused > SHORT_REFUSED_SHARE * (total.asked - total.cut)
         )
+        self._short_steps = self._short_steps + 1 if is_short else 0
         if self._is_first and total.cut:
             # An earlier coordinator has found the room; go on from there.
             self._room_per_s = asked_per_s * (1.0 - total.cut / total.asked)
-        elif is_short:
-            self._room_per_s = self._served_per_s
+        elif is_short and (self._room_per_s or self._short_steps >= SHORT_STEPS):
+            self._room_per_s = (1.0 + SPARE_SHARE) * max(self._served_per_s)
             self._growth = MIN_GROWTH
         elif self._room_per_s is not None:
             is_full = busy_share >= SHORT_BUSY_SHARE
--- a/packages/core/plantaincart_core/tests/test_rankcut.py
+++ b/packages/core/plantaincart_core/tests/test_rankcut.py
@@ -1,5 +1,6 @@
 """Division of a service's room by rank, each test with the load that it answers."""
 
+from collections import Counter, deque
 from itertools import pairwise
 
 import pytest
@@ -149,6 +150,117 @@
     assert cut.shares[LOW] == pytest.approx(0.4, abs=0.1)
 
 
+class Queues:
+    """Upstreams that finish requests a while after they began, with a queue each."""
+
+    SLOTS = 80
+    WORK_S = SLOTS / ROOM_PER_S
+    # Requests that wait, running ones aside, before others are turned away.
+    MAX_WAITING = 60
+
+    def __init__(self):
+        self.cut = RankCut()
+        self.now = 0.0
+        self.cut.update(self.now, 0.0)
+        self.running = deque()
+        self.waiting = deque()
+        self.credit = {}
+        self.counters = {}
+
+    def play(self, seconds, asked_per_s, slots=SLOTS):
+        """Return requests asked and admitted, free slots and cut ones by step."""
+        steps = []
+        for _ in range(round(seconds / STEP_S)):
+            asked, admitted = Counter(), Counter()
+            free = cut = 0
+            for _ in range(10):
+                self.now += STEP_S / 10.0
+                free_now, cut_now = self._advance(asked_per_s, slots, asked, admitted)
+                free, cut = free + free_now / 10.0, cut + cut_now
+            steps.append((asked, admitted, free, cut))
+            busy_share = min(1.0, len(self.running) / slots)
+            self.cut.update(self.now + 1e-6, busy_share)
+        return steps
+
+    def _advance(self, asked_per_s, slots, asked, admitted):
+        while self.running and self.running[0][0] <= self.now:
+            self.cut.record(self.running.popleft()[1], RankCount(served=1))
+        cut = 0
+        for rank, per_s in asked_per_s.items():
+            due = self.credit.get(rank, 0.0) + per_s * STEP_S / 10.0
+            self.credit[rank] = due % 1.0
+            counter = self.counters.setdefault(rank, ShareCounter())
+            for _ in range(int(due)):
+                asked[rank] += 1
+                share = self.cut.shares.get(rank, 1.0)
+                if not counter.admits(share, is_returning=False):
+                    cut += 1
+                    self.cut.record(rank, RankCount(asked=1, cut=1))
+                elif len(self.waiting) >= self.MAX_WAITING:
+                    self.cut.record(rank, RankCount(asked=1, refused=1))
+                else:
+                    admitted[rank] += 1
+                    self.cut.record(rank, RankCount(asked=1))
+                    self.waiting.append(rank)
+        while self.waiting and len(self.running) < slots:
+            self.running.append((self.now + self.WORK_S, self.waiting.popleft()))
+        return max(0, slots - len(self.running)), cut
+
+
+QUEUE_LOADS = {
+    "1.7 times the room": {HIGH: 1.0, LOW: 0.7},
+    "3 times the room": {HIGH: 1.2, LOW: 1.8},
+    "a third retries at once three times": {HIGH: 0.9, LOW: 0.7},
+    "a low rank at ten times its usual": {HIGH: 0.4, LOW: 3.0},
+}
+
+
+def scale_room(factors):
+    return {rank: factor * ROOM_PER_S for rank, factor in factors.items()}
+
+
+@pytest.mark.parametrize("before", [0.1, 0.8])
+@pytest.mark.parametrize("name", QUEUE_LOADS)
+def test_cut_leaves_no_slot_free(name, before):
+    """Demand rises in a moment, from little or much (patterns burst, retry_abuse)."""
+    queues = Queues()
+    usual = scale_room({HIGH: before / 2.0, LOW: before / 2.0})
+    assert sum(step[3] for step in queues.play(2.0, usual)) == 0
+    steps = queues.play(BURST_S, scale_room(QUEUE_LOADS[name]))
+    for _, _, free, cut in steps:
+        assert not cut or free <= 0.05 * Queues.SLOTS
+    asked = sum((step[0] for step in steps[6:]), Counter())
+    admitted = sum((step[1] for step in steps[6:]), Counter())
+    room = 0.7 * ROOM_PER_S * (BURST_S - 1.5)
+    assert admitted[HIGH] >= 0.85 * min(asked[HIGH], room)
+    assert admitted[LOW] >= 0.25 * asked[LOW] * ROOM_PER_S * 1.5 / asked.total()
+    after = queues.play(2.0, scale_room({HIGH: 0.4, LOW: 0.4}))
+    assert sum(step[3] for step in after[round(RECOVERY_S / STEP_S) :]) == 0
+
+
+def test_cut_leaves_no_slot_free_when_half_of_them_are_lost():
+    """Half of the slots are missing for 4 s (pattern srv_slow), and come back."""
+    queues = Queues()
+    usual = scale_room({HIGH: 0.35, LOW: 0.45})
+    queues.play(2.0, usual)
+    half = Queues.SLOTS // 2
+    for _, _, free, cut in queues.play(4.0, usual, half):
+        assert not cut or free <= 0.05 * half
+    after = queues.play(2.0, usual)
+    assert sum(step[3] for step in after[round(RECOVERY_S / STEP_S) :]) == 0
+
+
+def test_short_refusals_at_a_start_begin_no_cut():
+    """Requests are refused for a moment although upstreams finish all (scale_out)."""
+    cut = RankCut()
+    cut.update(0.0, 0.0)
+    for step, refused in enumerate((0, 20, 0, 0), 1):
+        cut.record(HIGH, RankCount(asked=60, served=40))
+        cut.record(LOW, RankCount(asked=60, served=40 - refused, refused=refused))
+        cut.update(step * STEP_S, busy_share=0.9)
+        assert cut.shares == {}
+
+
 @pytest.mark.parametrize("share", [0.1, 0.35, 0.9])
 @pytest.mark.parametrize("returning", [0.0, 0.3, 0.9])
 def test_share_holds_whoever_returns(share, returning):
