Give instances that are alone turns at the tokens of an account, and pool their rates

Cause: an instance without a sure coordinator used a fixed, whole part of an account's burst. Of an account with fewer tokens than instances only some ever had a share (22 of 76 at 11.6 requests a second), however much the rate added.

Change: all instances number the tokens from the last answer on alike, and have them in turn; a token lapses when the capacity has grown after it, so the sum over any number of instances is that of one bucket. An instance that is alone and hears a coordinator that isn't sure of itself yet leaves its share to it (accounts_pooled in reports), and the coordinator adds the rates of those that have said so twice. Growth of own shares now counts from the end of alone_s.

--- a/packages/core/plantaincart_core/accountquota.py
+++ b/packages/core/plantaincart_core/accountquota.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from math import exp
+from math import ceil, exp
 from zlib import crc32
 
 from plantaincart_core.account import ClientAccount
@@ -131,12 +131,14 @@
 
     tokens: int = 0
     expires_at: float = 0.0
-    # Own share, for times without a coordinator; None until the first is needed.
-    base: float | None = None
-    # Tokens used since the last answer.
+    # Number of the next token of the own share, for times without a coordinator, and
+    # time of the answer from which on they are numbered.
+    next_own: int = 0
+    numbered_from: float | None = None
+    # Level in the answer to the report of that time, and tokens used since.
+    level: float = 1.0
+    level_at: float = float("-inf")
     used: int = 0
-    base_at: float = 0.0
-    level: float | None = None
     rate_per_s: float = 0.0
     seen_at: float = float("-inf")
     waiting: int = 0
@@ -171,11 +173,17 @@
     Each request takes a token. The coordinator issues them for `lease_s`, counted from
     the report that asked for them, so that a message that was held up brings none that
     it has stopped counting. An instance that wasn't answered for `alone_s` uses a share
-    of its own: an equal part of rate and burst. By then the coordinator has taken this
-    part from what it issues (`plantaincart_core.accountshare`). The part of the burst
-    is the level of the account's tokens at the last answer, so that a burst isn't used
-    twice. After `alone_limit_s` the coordinator counts the instance no more, and it
-    passes on nothing of accounts with a quota.
+    of its own. By then the coordinator has taken this part from what it issues
+    (`plantaincart_core.accountshare`). After `alone_limit_s` the coordinator counts the
+    instance no more, and it passes on nothing of accounts with a quota.
+
+    The account's tokens from the last answer on are numbered as they grow, beginning
+    with those that the level at that answer left, so that a burst isn't used twice. The
+    instances have them in turn, and a token lapses when the whole capacity has grown
+    after it. So all instances together have as many tokens as one bucket, and each has
+    some in time, also where there are fewer than instances. A coordinator that isn't
+    sure of itself yet gets the further tokens of instances that are alone
+    (`pool_share`), since it knows where requests wait.
 
     Examples
     --------
@@ -203,6 +211,11 @@
         self._members_counted_at = float("-inf")
         self._known_at = float("inf")
         self.led_at = float("-inf")
+        # Last answer of a coordinator that isn't sure of itself yet, begin of the time
+        # for which it has this instance's share, and last answer since then.
+        self._unsure_at = float("-inf")
+        self._pooled_since = float("inf")
+        self._pooled_at = float("-inf")
         self._states: dict[str, _State] = {}
         self._forgotten_at = 0.0
 
@@ -218,7 +231,9 @@
         is_old = now - self._members_counted_at > self.alone_limit_s
         if members >= self.members or is_old:
             self.members, self._members_counted_at = max(1, members), now
-        self.rank = rank
+        if self.rank is None or not self.is_alone(now):
+            # The turns of instances that are alone follow one numbering.
+            self.rank = rank
         if rank is not None:
             self._known_at = min(self._known_at, now)
 
@@ -238,6 +253,32 @@
         """Whether no coordinator that divides quotas has answered lately."""
         return now - self.led_at > self.alone_s
 
+    def pool_share(self, now: float) -> bool:
+        """
+        Leave the own share to a coordinator that isn't sure of itself yet.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds at which a report is sent.
+
+        Returns
+        -------
+        bool
+            Whether the coordinator may issue this instance's part of the rates.
+        """
+        answered_at = max(self._unsure_at, self._pooled_at)
+        is_answered = now - answered_at < self.alone_s
+        if not self.is_alone(now) or not is_answered or self.rank is None:
+            self._pooled_since = float("inf")
+            return False
+        if self._pooled_since > now:
+            self._pooled_since = self._pooled_at = now
+        return True
+
+    def _is_pooled(self, now: float) -> bool:
+        return now - self._pooled_at <= self.alone_s
+
     def take(self, account: ClientAccount, now: float) -> bool:
         """
         Take a token for a request, if there is one.
@@ -255,7 +296,7 @@
             state.used += 1
             return True
         state.tokens = 0
-        return self._take_base(account, state, now)
+        return self._take_own(account, state, now)
 
     def give_back(self, account: ClientAccount, now: float) -> None:
         """Return the token of a request that certainly doesn't run."""
@@ -279,9 +320,15 @@
         return self.is_exhausted(account, now) or self.is_hopeless(account, now)
 
     def is_hopeless(self, account: ClientAccount, now: float) -> bool:
-        """Whether this instance is alone for long, without a share of an account."""
-        has_share = self.rank is not None and self._find_base_capacity(account) > 0
-        return not has_share and now - self.led_at > HOPELESS_S + self.alone_s
+        """Whether this instance is alone for long, and its turn is far away."""
+        if now - self.led_at <= HOPELESS_S + self.alone_s:
+            return False
+        if self.rank is None:
+            return True
+        if self._is_pooled(now):
+            return False
+        state = self._states.setdefault(account.name, _State())
+        return self._measure_own_wait(account, state, now) > HOPELESS_S
 
     def choose_retry_s(self, account: ClientAccount, now: float) -> float:
         """
@@ -352,6 +399,10 @@
         """
         if is_led:
             self.led_at = max(self.led_at, asked_at)
+        else:
+            self._unsure_at = max(self._unsure_at, asked_at)
+            if asked_at >= self._pooled_since:
+                self._pooled_at = max(self._pooled_at, asked_at)
         for share in shares:
             state = self._states.get(share.account)
             if state is None:
@@ -363,39 +414,45 @@
             state.is_scarce = share.scarce
             state.wait_until = asked_at + share.wait_s if share.wait_s else 0.0
             if is_led:
-                state.level, state.base, state.used = share.level, None, 0
+                state.level, state.level_at, state.used = share.level, asked_at, 0
 
-    def _take_base(self, account: ClientAccount, state: _State, now: float) -> bool:
+    def _take_own(self, account: ClientAccount, state: _State, now: float) -> bool:
         """Take a token of this instance's own share while it is alone."""
-        if self.rank is None or not self.is_alone(now):
+        if self.rank is None or not self.is_alone(now) or self._is_pooled(now):
             return False
         if now - max(self.led_at, self._known_at) > self.alone_limit_s:
             return False
-        capacity = self._find_base_capacity(account)
-        if state.base is None:
-            level = state.level
-            if level is None:
-                # An account that nobody spoke of has used little; a new process can't
-                # know what earlier ones have used.
-                level = 1.0 if self.has_been_led else 0.0
-            state.base = max(0.0, level * capacity - state.used)
-            state.base_at = now
-        elapsed_s = max(0.0, now - max(state.base_at, self.led_at))
-        total = max(1, int(self._bounds.find_capacity(account)))
-        gained = elapsed_s * account.rate_per_s * capacity / total
-        state.base = min(float(capacity), state.base + gained)
-        state.base_at = now
-        if state.base < 1.0:
+        if self._measure_own_wait(account, state, now) > 0.0:
             return False
-        state.base -= 1.0
+        state.next_own += self.members
         return True
 
-    def _find_base_capacity(self, account: ClientAccount) -> int:
-        """Divide the whole tokens of an account's burst among all instances."""
-        total = int(self._bounds.find_capacity(account))
-        members = max(1, self.members)
-        position = ((self.rank or 0) + crc32(account.name.encode())) % members
-        return total // members + (1 if position < total % members else 0)
+    def _measure_own_wait(
+        self, account: ClientAccount, state: _State, now: float
+    ) -> float:
+        """Return the seconds until this instance has a token of its own share."""
+        capacity = self._bounds.find_capacity(account)
+        began_at = max(self.led_at, self._pooled_at)
+        # A new process can't know what earlier ones have used, and what was left to a
+        # coordinator may have been used. Accounts of which the last answer says nothing
+        # have used little.
+        grown, used = 0.0, 0
+        if began_at == self.led_at and self.has_been_led:
+            is_told = state.level_at == began_at
+            grown = capacity * (state.level if is_told else 1.0)
+            used = state.used if is_told else 0
+        # Until then the coordinator may count this instance's part as its own.
+        since = max(began_at + self.alone_s, self._known_at)
+        grown += max(0.0, now - since) * account.rate_per_s
+        if state.numbered_from != began_at:
+            position = (self.rank or 0) + crc32(account.name.encode())
+            state.next_own = position % self.members + used * self.members
+            state.numbered_from = began_at
+        lapsed = grown - capacity - state.next_own
+        if lapsed > 0.0:
+            state.next_own += ceil(lapsed / self.members) * self.members
+        missing = state.next_own + 1 - grown
+        return missing / account.rate_per_s if missing > 1e-9 else 0.0
 
     def _forget(self, now: float) -> None:
         if now - self._forgotten_at < FORGOTTEN_S / 4.0:
--- a/packages/core/plantaincart_core/accountshare.py
+++ b/packages/core/plantaincart_core/accountshare.py
@@ -70,6 +70,9 @@
 
     heard_at: float
     received: float = -1.0
+    # Whether it leaves its own share to the coordinator: said, and confirmed.
+    pools: bool = False
+    has_pooled: bool = False
 
 
 class AccountIssuer:
@@ -98,7 +101,8 @@
     its capacity, and grow by its rate. So no window has more requests than capacity and
     rate allow, wherever callers send them. Instances that aren't in touch have their
     shares of both; these are taken off, so that the number may be negative for a
-    while. A term begins without tokens.
+    while. A term begins without tokens. Until it is sure, it issues a part of the
+    rule's allowance, and the rates of instances that leave their own shares to it.
 
     Examples
     --------
@@ -128,6 +132,7 @@
         self._contacts: dict[str, _Contact] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._present = (float("-inf"), 1.0)
+        self._pooled = 0.0
         self._low: list[AccountShare] = []
         self._searched_at = float("-inf")
         self.accounts = AccountIndex()
@@ -136,7 +141,9 @@
         """Whether the previous coordinator may still issue tokens."""
         return now - self._began_at < self._young_s
 
-    def record_contact(self, instance: str, received: float, now: float) -> None:
+    def record_contact(
+        self, instance: str, received: float, now: float, pools: bool = False
+    ) -> None:
         """
         Record a report of an instance.
 
@@ -148,13 +155,19 @@
             Latest of its reports whose answer it has received, by its own time.
         now : float
             Present time in seconds.
+        pools : bool
+            Whether the instance leaves its own share to this coordinator as long as it
+            is answered.
         """
         contact = self._contacts.get(instance)
         if contact is None:
-            self._contacts[instance] = _Contact(now, received)
-        elif received != contact.received:
+            self._contacts[instance] = _Contact(now, received, pools)
+            return
+        if received != contact.received:
             # An instance that receives no answers is alone, although it is heard.
             contact.heard_at, contact.received = now, received
+            contact.has_pooled = pools and contact.pools
+        contact.pools = pools
 
     def remove(self, instance: str) -> None:
         """Forget an instance that has said that it ends."""
@@ -171,13 +184,15 @@
                 del self._contacts[name]
         if now - self._began_at > LOST_MEMORY_S:
             self._expected = 1
-        in_touch = sum(
-            now - contact.heard_at < self._alone_s * 0.875
+        in_touch = [
+            contact
             for contact in self._contacts.values()
-        )
+            if now - contact.heard_at < self._alone_s * 0.875
+        ]
         known = max(self._expected, len(self._contacts), 1)
-        lost = max(0.0, (known - in_touch) / known - COVERED_LOSS)
+        lost = max(0.0, (known - len(in_touch)) / known - COVERED_LOSS)
         self._present = (now, 1.0 - lost)
+        self._pooled = sum(contact.has_pooled for contact in in_touch) / known
         return 1.0 - lost
 
     def answer(
@@ -348,7 +363,9 @@
         if not self.is_young(now):
             return rate_per_s
         slack = self._bounds.find_slack(account)
-        return min(rate_per_s, YOUNG_SHARE / 2.0 * slack / self._young_s)
+        allowed_per_s = YOUNG_SHARE / 2.0 * slack / self._young_s
+        pooled_per_s = self._pooled * account.rate_per_s
+        return min(rate_per_s, allowed_per_s + pooled_per_s)
 
     def _find_level(self, account: ClientAccount, bucket: _Bucket) -> float:
         capacity = self._bounds.find_capacity(account) * bucket.present
--- a/packages/core/plantaincart_core/tests/test_accountquota.py
+++ b/packages/core/plantaincart_core/tests/test_accountquota.py
@@ -127,7 +127,8 @@
             if issuer is None:
                 continue
             demands = self.quotas[name].list_demands(self.now)
-            issuer.record_contact(name, self.heard[name], self.now)
+            pools = self.quotas[name].pool_share(self.now)
+            issuer.record_contact(name, self.heard[name], self.now, pools)
             shares = issuer.answer(name, demands, self.heard[name], self.now, self.now)
             led = not issuer.is_young(self.now)
             self.answers.append((self.now + ROUND_TRIP_S, name, shares, self.now, led))
@@ -262,6 +263,94 @@
     assert fleet.refused["small"] < 0.3 * 6.5 * 7.2
 
 
+def test_small_account_is_served_during_takeovers_of_any_fleet():
+    """Its tokens are fewer than instances, and callers come to random ones."""
+    refused = sent = 0
+    for seed in range(2, 8):
+        fleet = Fleet(76, [make_account("small", 11.6)], seed)
+        fleet.run(5.0, {})
+        fleet.run(5.0, {"small": 7.2})
+        before = Counter(fleet.sent), Counter(fleet.refused)
+        fleet.cut(fleet.names)
+        fleet.run(1.5, {"small": 7.2})
+        issuer = fleet.make_issuer()
+        for name in fleet.names:
+            fleet.issuer_of[name] = issuer
+        fleet.run(5.0, {"small": 7.2})
+        sent += fleet.sent["small"] - before[0]["small"]
+        refused += fleet.refused["small"] - before[1]["small"]
+        fleet.check()
+    assert refused < 0.3 * sent, (refused, sent)
+
+
+@pytest.mark.parametrize(
+    ("members", "rate"), [(5, 2.0), (76, 2.0), (76, 11.6), (76, 165.0), (300, 11.6)]
+)
+def test_instances_that_are_all_alone_have_turns_within_the_quota(members, rate):
+    """Callers try every instance all the time, for two rounds of turns."""
+    fleet = Fleet(members, [make_account(rate=rate)])
+    fleet.run(5.0, {})
+    fleet.run(2.0, {"depot": 0.6 * rate})
+    fleet.cut(fleet.names)
+    depot, served = fleet.accounts.get("depot"), set()
+    fleet.run(1.0, {})
+    # One that took a token after the last answer misses a turn.
+    for _ in range(int(2.2 * max(5.0, members / rate) / STEP_S)):
+        fleet.now += STEP_S
+        served.update(name for name in fleet.names if fleet.try_pass(name, depot))
+    fleet.check()
+    assert served == set(fleet.names)
+
+
+def test_coordinators_that_follow_one_another_keep_the_sum():
+    """Shares that were left to one that is lost are not used a second time."""
+    fleet = Fleet(76, [make_account(), make_account("small", 11.6)])
+    fleet.run(5.0, {})
+    fleet.run(2.0, {"depot": 100.0, "small": 7.2})
+    for number in range(4):
+        fleet.cut(fleet.names)
+        fleet.run(1.2, {"depot": 900.0, "small": 60.0})
+        issuer = fleet.make_issuer()
+        for name in fleet.names[number::2]:
+            fleet.issuer_of[name] = issuer
+        fleet.run(1.4, {"depot": 900.0, "small": 60.0})
+    fleet.check()
+
+
+def test_share_that_was_left_to_a_coordinator_is_not_used_as_well():
+    quotas, depot = AccountQuotas(BOUNDS, REPORT_S), make_account(rate=100.0)
+    quotas.set_fleet(76, 3, 5.0)
+    quotas.apply([], asked_at=5.0, is_led=True)
+    assert quotas.take(depot, 6.0)
+    assert not quotas.pool_share(6.0)
+    quotas.apply([], asked_at=6.0, is_led=False)
+    assert quotas.pool_share(6.1)
+    assert not quotas.take(depot, 6.2)
+    quotas.apply([], asked_at=6.1, is_led=False)
+    assert quotas.pool_share(6.4)
+    assert not quotas.take(depot, 6.8)
+    # The coordinator, which isn't heard any more, has used what had grown.
+    assert not quotas.take(depot, 6.86)
+    assert quotas.take(depot, 7.7)
+    assert not quotas.pool_share(7.7)
+
+
+def test_unsure_coordinator_issues_only_what_was_surely_left_to_it():
+    issuer = AccountIssuer(BOUNDS, 1.0, 0.75, 2.0, members=2, now=0.0)
+    issuer.accounts = AccountIndex([make_account(rate=100.0)])
+    demand = [AccountDemand("depot", 90, 90, 0)]
+    for received, pools in ((0.0, False), (0.1, True), (0.1, True)):
+        issuer.record_contact("r1", received, received, pools)
+    first = issuer.answer("r1", demand, 0.1, 0.2, now=0.2)[0].tokens
+    slack = BOUNDS.find_slack(make_account(rate=100.0))
+    assert first <= 0.2 * slack + 1.0
+    issuer.record_contact("r1", 0.2, 0.3, True)
+    issuer.answer("r1", demand, 0.2, 0.3, now=0.3)
+    later = issuer.answer("r1", demand, 0.3, 0.8, now=0.8)[0].tokens
+    # One of two instances has left its part of the rate.
+    assert 0.5 * 50.0 <= later <= 0.6 * 50.0 + 0.2 * slack
+
+
 def test_frozen_instance_uses_nothing_from_before_when_it_wakes():
     fleet = Fleet(5, [make_account(rate=20.0)])
     fleet.run(5.0, {})
--- a/packages/router/plantaincart_router/direct/accountfact.py
+++ b/packages/router/plantaincart_router/direct/accountfact.py
@@ -99,6 +99,7 @@
             "accounts": demands,
             "accounts_at": sent_at,
             "accounts_heard": self._heard_at,
+            "accounts_pooled": self.quotas.pool_share(sent_at),
         }
 
     def apply(self, notice: CoordinatorNotice, now: float) -> None:
@@ -150,7 +151,10 @@
             self._issuer.remove(report.member)
         else:
             self._issuer.record_contact(
-                report.member, report.accounts_heard, read_boot_time()
+                report.member,
+                report.accounts_heard,
+                read_boot_time(),
+                report.accounts_pooled,
             )
         return False
 
