Judge silence from the sending, not from the choice of the upstream

An attempt was looked at once, a limit after its upstream was chosen. If its connection opened later than that, nothing had been sent yet, and it was never looked at again: the request had no repeat and ended at its deadline. Now the limit runs from the sending.

Stalls of 0.3 s and more during the connect still end without a repeat, since both upstreams' connects time out then, and one of 0.95 s leaves no time.

test_silence_counts_from_the_sending fails without the change (2 of 2 cases). Attempts of non-idempotent requests take the same way, without the repeat.

--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -1,6 +1,6 @@
 """Attempts at upstreams that may never answer, and their repeats."""
 
-from asyncio import FIRST_COMPLETED, Task, create_task, get_running_loop, wait
+from asyncio import FIRST_COMPLETED, Task, create_task, wait
 from collections.abc import Callable
 from time import monotonic
 
@@ -120,13 +120,6 @@
                 return await self._send_once(attempt)
             finally:
                 self._gate.release(record)
-        if not call.route.idempotent:
-            timer = get_running_loop().call_later(limit_s, self._judge, attempt)
-            try:
-                return await self._send_once(attempt)
-            finally:
-                timer.cancel()
-                self._gate.release(record)
         return await self._send_watched(attempt, limit_s)
 
     async def _send_watched(
@@ -135,8 +128,8 @@
         first = self._start(attempt)
         second: Task[HttpAnswer] | None = None
         try:
-            await wait({first}, timeout=limit_s)
-            if not first.done() and self._judge(attempt):
+            is_silent = await self._wait_for_silence(attempt, first, limit_s)
+            if is_silent and attempt.call.route.idempotent:
                 second = await self._start_repeat(attempt, first)
             if second is not None:
                 return await self._wait_for_both(first, second)
@@ -148,6 +141,20 @@
                     task.cancel()
             raise
 
+    async def _wait_for_silence(
+        self, attempt: WatchedAttempt, first: Task[HttpAnswer], limit_s: float
+    ) -> bool:
+        """Wait until an attempt ends (False), or is judged `limit_s` after sending."""
+        while not first.done():
+            # Its connection may have taken longer to open than the limit.
+            left_s = limit_s
+            if attempt.progress.sent_at is not None:
+                left_s = attempt.progress.sent_at + limit_s - monotonic()
+            if left_s <= 0.0:
+                return self._judge(attempt)
+            await wait({first}, timeout=left_s)
+        return False
+
     async def _start_repeat(
         self, attempt: WatchedAttempt, first: Task[HttpAnswer]
     ) -> Task[HttpAnswer] | None:
@@ -267,7 +274,7 @@
 
     def _judge(self, attempt: WatchedAttempt) -> bool:
         """Take an attempt for silent unless its answer has begun to arrive."""
-        if attempt.progress.started_at is not None or attempt.progress.sent_at is None:
+        if attempt.progress.started_at is not None:
             return False
         attempt.is_silent = True
         call, record = attempt.call, attempt.record
--- a/packages/router/plantaincart_router/direct/tests/test_silence.py
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -71,6 +71,31 @@
         assert view.loads.get("u0").in_flight == 0
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+async def test_silence_counts_from_the_sending(idempotent):
+    """Opening the connection takes longer than an answer: the network, or a pause."""
+    full, other = Upstream(fall_silent()), Upstream()
+    plan = make_plan(keyed=False, idempotent=idempotent)
+    async with run_gateway(full, other, plan=plan) as (gateway, view):
+        show_silence(gateway)
+        set_usual_time(view)
+        prefer_first(view)
+        open_connection = gateway._pools.open
+
+        async def open_late(record, timeout_s):
+            if record.id == "u0":
+                await sleep(0.2)
+            return await open_connection(record, timeout_s)
+
+        gateway._pools.open = open_late
+        response = await call_gateway(gateway)
+        assert response.status == (200 if idempotent else 504)
+        assert (len(full.requests), len(other.requests)) == (1, int(idempotent))
+        judged = b'silent_total{result="judged",service="ledger"} 1.0'
+        assert judged in gateway.silence._metrics.render()
+        gateway.close()
+
+
 async def test_silent_connection_isn_t_used_again():
     """Nothing that follows on a silent connection is answered either."""
     full, other = Upstream(fall_silent()), Upstream()
