Keep an owner's queue for urgent requests only where room is divided

The bound of the wait by rank acted at every service with keys. As the other parts that answer a shortage, it now acts only where the room at upstreams is divided among the instances; deployments with room for all are served as before. The test plays both.

--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -108,7 +108,8 @@
             If it isn't admitted.
         """
         expected, admission = self.assess(call, record)
-        if call.service.keyed:
+        is_divided = self._view.room.share.is_divided(call.service.name)
+        if call.service.keyed and is_divided:
             admission = self._put_back(call, record, expected, admission)
         if not admission.admitted:
             raise self._rejections.refuse_overloaded(call, record, expected, admission)
