--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -14,13 +14,12 @@
     Verdict,
     refuse_may_have_run,
 )
-from plantaincart_core.windowbudget import WindowRetryBudget
 
 from plantaincart_router.direct.accountgate import AccountGate
 from plantaincart_router.direct.accountturn import AccountTurnPolicy
 from plantaincart_router.direct.admissioncontrol import AdmissionControl, EntryPolicy
 from plantaincart_router.direct.answermemory import AnswerMemory
-from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
+from plantaincart_router.direct.call import Call, LostError, NotRunError
 from plantaincart_router.direct.candidates import CandidateFinder, ColdFilter
 from plantaincart_router.direct.coldlimiter import ColdUpstreamLimiter
 from plantaincart_router.direct.cost import CostEstimator
@@ -30,6 +29,7 @@
 from plantaincart_router.direct.pacesource import PaceFilter, PaceSource
 from plantaincart_router.direct.permitwait import PermitWait
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.quarantinecheck import QuarantineCheck
 from plantaincart_router.direct.rankadmission import RankAdmission
 from plantaincart_router.direct.rejection import RejectionFactory
 from plantaincart_router.direct.relayserver import RelayHandler
@@ -37,7 +37,13 @@
     RelayTransport,
     ReroutingTransport,
 )
+from plantaincart_router.direct.retrybudgets import RetryBudgets
 from plantaincart_router.direct.roomgate import RoomGate
+from plantaincart_router.direct.routematch import (
+    choose_time_limit_s,
+    find_route,
+    find_service,
+)
 from plantaincart_router.direct.selector import UpstreamSelector
 from plantaincart_router.direct.sender import UpstreamSender
 from plantaincart_router.direct.settings import DirectSettings
@@ -50,7 +56,6 @@
 
 __all__ = ["Gateway"]
 
-DEFAULT_DEADLINE_S = 30.0
 # Maximum number of attempts at the owner of a key, and of attempts to connect to it. A
 # second attempt to connect helps if the owner had no free connections; an unreachable
 # owner stays unreachable for longer than most callers wait.
@@ -106,7 +111,8 @@
         self._header_codec = header_codec
         self._random = Random()
         self._started_at = monotonic()
-        self._budgets: dict[str, WindowRetryBudget] = {}
+        self._retries = RetryBudgets(settings)
+        self._quarantine = QuarantineCheck(view, metrics)
         self._returns = ReturnDetector()
         cold_limiter = ColdUpstreamLimiter(settings.bounds)
         direct = DirectTransport(pools, header_codec, settings.send, view)
@@ -241,27 +247,12 @@
         caller: CallerConnection,
         started_at: float,
     ) -> Call:
-        routing_config, routes = self._view.routing_config, self._view.routes
-        if routing_config is None or routes is None:
-            raise refuse(Reason.NO_ROUTE, "no configuration known yet", 0.5, 503)
-        route = routes.find(metadata.host, request.target)
-        if route is None:
-            raise refuse(Reason.NO_ROUTE, "no route for host and path", 0.0)
+        route = find_route(self._view, metadata.host, request.target)
         account = self._accounts.identify(route, metadata)
         account_name = "" if account is None else account.name
         request = self._header_codec.assign_account(request, account_name)
-        policy = routing_config.services.get(pick_service(route, self._random))
-        if policy is None:
-            raise refuse(
-                Reason.NO_ROUTE,
-                "service not described yet",
-                0.5,
-                503,
-            )
-        remaining_s = DEFAULT_DEADLINE_S
-        if metadata.remaining_s is not None:
-            remaining_s = metadata.remaining_s
-        deadline_at = started_at + min(remaining_s, route.timeout_s)
+        policy = find_service(self._view, pick_service(route, self._random))
+        deadline_at = started_at + choose_time_limit_s(metadata, route)
         call = Call(request, metadata, caller, route, policy, started_at, deadline_at)
         if account is not None:
             call.account, call.account_priority = account, account.priority
@@ -275,9 +266,9 @@
         call.is_returning = self._returns.is_returning(
             call.route.name, call.metadata.remaining_s
         )
-        budget = self._find_budget(call.service.name)
+        budget = self._retries.find(call.service.name)
         budget.record_request(call.started_at, call.retry_rank)
-        self._check_quarantine(call)
+        self._quarantine.check(call)
         self._admit(call)
         while True:
             record = await self._selector.find_upstream(call)
@@ -312,7 +303,7 @@
         """Send a request to an upstream at which a unit of room was taken."""
         try:
             # The request may have waited, or ended an upstream.
-            self._check_quarantine(call)
+            self._quarantine.check(call)
         except RefusedError:
             self._gate.release(record)
             raise
@@ -330,21 +321,6 @@
         for policy in self._policies:
             policy.record_end(call, refusal)
 
-    def _check_quarantine(self, call: Call) -> None:
-        """Reject a request under which several upstreams have ended."""
-        view = self._view
-        rank = view.members if view.rank is None else view.rank
-        remaining_s = view.crashes.remaining_s(
-            call.request, call.service.name, rank, monotonic()
-        )
-        if remaining_s <= 0.0:
-            return
-        self._metrics.count("quarantined", call.service.name)
-        detail = "upstreams ended while they ran this request"
-        if call.may_have_run:
-            raise RefusedError(refuse_may_have_run(Reason.UPSTREAM_LOST, detail))
-        raise refuse(Reason.QUARANTINED, detail, remaining_s, 503)
-
     def _check_retry_after_loss(self, call: Call, detail: str) -> None:
         timed_out = call.remaining_s <= self._settings.send.least_left_s
         reason = Reason.UPSTREAM_TIMEOUT if timed_out else Reason.UPSTREAM_LOST
@@ -404,24 +380,12 @@
         work_s = self._view.loads.estimate_work_s(call.route.name, 0.0)
         if call.remaining_s < max(work_s, self._settings.send.least_left_s):
             return False
-        budget = self._find_budget(call.service.name)
+        budget = self._retries.find(call.service.name)
         allowed = budget.spend(monotonic(), self._view.members, call.retry_rank)
         if not allowed:
             self._metrics.count("repeats_denied", call.service.name)
         return allowed
 
-    def _find_budget(self, service: str) -> WindowRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget_share = self._settings.send.retry_budget_share
-            budget = self._budgets[service] = WindowRetryBudget(
-                bounds.retry_ratio * budget_share,
-                bounds.retry_extra * budget_share,
-                bounds.retry_window_s,
-            )
-        return budget
-
     def _log_request_end(
         self,
         metadata: RequestMetadata,
