Copy the state that decisions change, and divide finding from counting

A decision can be tried on the copies without taking a unit, permit, token, turn or retry. The pace filter tells its share apart from its draw, the retry budget what is left apart from spending it, and the account gate whom a key belongs to apart from counting unknown keys. Requests are decided as before.

--- a/packages/core/plantaincart_core/accountquota.py
+++ b/packages/core/plantaincart_core/accountquota.py
@@ -1,8 +1,10 @@
 """Quotas of client accounts, as one instance keeps them."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from copy import copy
+from dataclasses import dataclass, replace
 from math import exp
+from typing import Self
 from zlib import crc32
 
 from plantaincart_core.account import ClientAccount
@@ -206,6 +208,23 @@
         self._states: dict[str, _State] = {}
         self._forgotten_at = 0.0
 
+    def copy_account(self, account: ClientAccount) -> Self:
+        """Return a copy with the tokens of one account, which are taken apart."""
+        copied = copy(self)
+        state = self._states.get(account.name)
+        copied._states = {} if state is None else {account.name: replace(state)}
+        return copied
+
+    def count_tokens(self, account: ClientAccount, now: float) -> int:
+        """Return the tokens that the coordinator has issued and that may be used."""
+        state = self._states.get(account.name)
+        return state.tokens if state is not None and now < state.expires_at else 0
+
+    def find_wait_s(self, account: ClientAccount, now: float) -> float:
+        """Return the time in seconds until there are tokens, as told; 0 if unknown."""
+        state = self._states.get(account.name)
+        return 0.0 if state is None else max(0.0, state.wait_until - now)
+
     def set_fleet(self, members: int, rank: int | None, now: float) -> None:
         """
         Set the number of instances, and the index of this one.
--- a/packages/core/plantaincart_core/upstreamload.py
+++ b/packages/core/plantaincart_core/upstreamload.py
@@ -1,6 +1,8 @@
 """Estimates of the load and speed of upstreams, as seen by one instance."""
 
+from copy import copy
 from dataclasses import dataclass
+from typing import Self
 
 __all__ = ["UpstreamLoads", "LoadSettings", "UpstreamLoad"]
 
@@ -84,6 +86,11 @@
         weight: float = 0.5 ** (age_s / settings.report_half_life_s)
         return self.in_flight + self._peer_in_flight * weight
 
+    def measure_age_s(self, now: float) -> float | None:
+        """Return how old the count of other instances' requests is; None for none."""
+        told_at = self._peer_in_flight_at
+        return now - told_at if told_at else None
+
     def record_occupancy(
         self, full: bool, now: float, max_observation_gap_s: float
     ) -> None:
@@ -131,6 +138,14 @@
         self._work_s: dict[str, float] = {}
         self._slowness_samples: dict[str, list[float]] = {}
 
+    def copy(self) -> Self:
+        """Return a copy that observations of this one and of the copy leave apart."""
+        copied = copy(self)
+        copied._loads = {name: copy(load) for name, load in self._loads.items()}
+        copied._work_s = dict(self._work_s)
+        copied._slowness_samples = {}
+        return copied
+
     def get(self, upstream: str) -> UpstreamLoad:
         """Return the load of an upstream, adding an idle one if it is missing."""
         load = self._loads.get(upstream)
--- a/packages/core/plantaincart_core/upstreamspeed.py
+++ b/packages/core/plantaincart_core/upstreamspeed.py
@@ -184,6 +184,11 @@
         weight: float = 0.5 ** (max(0.0, now - statement.at) / STATEMENT_HALF_LIFE_S)
         return mean + weight * (statement.slowdown - mean)
 
+    def measure_age_s(self, upstream: str, now: float) -> float | None:
+        """Return how old the last stated slowdown is; None for none."""
+        statement = self._statements.get(upstream)
+        return None if statement is None else now - statement.at
+
     def find_factor(self, upstream: str, service: str, now: float) -> float | None:
         """
         Return the expected response time relative to the usual one.
--- a/packages/core/plantaincart_core/windowbudget.py
+++ b/packages/core/plantaincart_core/windowbudget.py
@@ -1,6 +1,7 @@
 """Retry budget over a sliding window, divided among the instances and by rank."""
 
 from collections import deque
+from copy import deepcopy
 
 from plantaincart_core.rank import Rank
 
@@ -80,20 +81,43 @@
         bool
             Whether the retry is within the budget.
         """
-        for window in self._ranks.values():
-            window.discard_before(
-                now - self.window_s, now - RECENT_SHARE * self.window_s
-            )
+        self._discard_old(now)
         own = self._find(rank)
         own.recent_wanted.append(now)
+        if self._find_left(instances, rank) < 1.0:
+            return False
+        own.retries.append(now)
+        return True
+
+    def estimate_left(self, now: float, instances: int, rank: Rank) -> float:
+        """
+        Return the retries that are left for requests of a rank; nothing is spent.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        instances : int
+            Instances that share the budget, at least 1.
+        rank : Rank
+            Rank of the requests.
+        """
+        copied = deepcopy(self)
+        copied._discard_old(now)
+        return max(0.0, copied._find_left(instances, rank))
+
+    def _find_left(self, instances: int, rank: Rank) -> float:
         windows = self._ranks.values()
         requests = sum(len(window.requests) for window in windows)
         retries = sum(len(window.retries) for window in windows)
         allowed = self.ratio * requests + self.extra / max(1, instances)
-        if retries + 1 + self._estimate_reserve(rank, allowed) > allowed:
-            return False
-        own.retries.append(now)
-        return True
+        return allowed - retries - self._estimate_reserve(rank, allowed)
+
+    def _discard_old(self, now: float) -> None:
+        for window in self._ranks.values():
+            window.discard_before(
+                now - self.window_s, now - RECENT_SHARE * self.window_s
+            )
 
     def _estimate_reserve(self, rank: Rank, allowed: float) -> float:
         """Return the retries kept for requests that are more urgent than a rank."""
--- a/packages/router/plantaincart_router/direct/accountgate.py
+++ b/packages/router/plantaincart_router/direct/accountgate.py
@@ -2,9 +2,10 @@
 
 from asyncio import Event, timeout
 
-from plantaincart_core.account import ClientAccount
+from plantaincart_core.account import AccountIndex, ClientAccount
+from plantaincart_core.accountquota import AccountQuotas
 from plantaincart_core.traffic import Route
-from plantaincart_core.verdict import Reason
+from plantaincart_core.verdict import Reason, RefusedError
 
 from plantaincart_router.direct.call import Call, refuse
 from plantaincart_router.direct.clock import read_boot_time
@@ -13,7 +14,14 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 
-__all__ = ["AccountGate"]
+__all__ = [
+    "MAX_WAITING",
+    "MAX_WAIT_S",
+    "MAX_WAIT_SHARE",
+    "AccountGate",
+    "find_account",
+    "refuse_account",
+]
 
 # Maximum time in seconds for which a request waits for a token, and the fraction of its
 # remaining time.
@@ -30,6 +38,60 @@
 OTHER_LABEL = "other"
 
 
+def find_account(
+    accounts: AccountIndex, route: Route, metadata: RequestMetadata
+) -> ClientAccount | None:
+    """
+    Find the account of a request.
+
+    Parameters
+    ----------
+    accounts : AccountIndex
+        Accounts of the configuration in force.
+    route : Route
+        Route that the request matches.
+    metadata : RequestMetadata
+        Parsed header fields of the request.
+
+    Returns
+    -------
+    ClientAccount or None
+        None if the configuration names no accounts, or the route needs none.
+
+    Raises
+    ------
+    RefusedError
+        If the route needs an account, and none holds the request's key.
+    """
+    if not len(accounts):
+        return None
+    account = accounts.find(metadata.account_key_digest)
+    if account is not None or route.public:
+        return account
+    raise refuse(Reason.ACCOUNT_UNKNOWN, "no account holds the key", 0.0)
+
+
+def refuse_account(
+    quotas: AccountQuotas, account: ClientAccount, now: float
+) -> RefusedError:
+    """
+    Return the error for a request of an account whose quota is used up.
+
+    Parameters
+    ----------
+    quotas : AccountQuotas
+        Tokens of this instance; the refusal counts in the choice of later times.
+    account : ClientAccount
+        Account of the request.
+    now : float
+        Present time in seconds, of `read_boot_time`.
+    """
+    retry_after_s = quotas.choose_retry_s(account, now)
+    own_share = ", own share" if quotas.is_alone(now) else ""
+    detail = f"quota of the account{own_share}"
+    return refuse(Reason.RATE_LIMITED, detail, retry_after_s)
+
+
 class AccountGate:
     """
     Finds the accounts of requests, and lets requests within the quotas pass.
@@ -53,35 +115,13 @@
         self._unlogged: dict[str, int] = {}
 
     def identify(self, route: Route, metadata: RequestMetadata) -> ClientAccount | None:
-        """
-        Find the account of a request.
-
-        Parameters
-        ----------
-        route : Route
-            Route that the request matches.
-        metadata : RequestMetadata
-            Parsed header fields of the request.
-
-        Returns
-        -------
-        ClientAccount or None
-            None if the configuration names no accounts, or the route needs none.
-
-        Raises
-        ------
-        RefusedError
-            If the route needs an account, and none holds the request's key.
-        """
-        accounts = self._fact.accounts
-        if not len(accounts):
-            return None
-        account = accounts.find(metadata.account_key_digest)
-        if account is not None or route.public:
-            return account
-        self._metrics.count("unknown_keys", route.name)
-        self._log("unknown_key", "", route=route.name)
-        raise refuse(Reason.ACCOUNT_UNKNOWN, "no account holds the key", 0.0)
+        """Find the account of a request as `find_account` does, and count failures."""
+        try:
+            return find_account(self._fact.accounts, route, metadata)
+        except RefusedError:
+            self._metrics.count("unknown_keys", route.name)
+            self._log("unknown_key", "", route=route.name)
+            raise
 
     async def acquire(self, call: Call) -> None:
         """
@@ -146,11 +186,10 @@
         self._changed.set()
         self._changed = Event()
 
-    def _refuse(self, account: ClientAccount, now: float) -> Exception:
+    def _refuse(self, account: ClientAccount, now: float) -> RefusedError:
         quotas = self._fact.quotas
-        retry_after_s = quotas.choose_retry_s(account, now)
+        error = refuse_account(quotas, account, now)
         self._metrics.count("account_requests", self._find_label(account), "refused")
-        is_alone = quotas.is_alone(now)
         self._log(
             "quota_used_up",
             account.name,
@@ -158,10 +197,9 @@
             burst=account.burst,
             members=quotas.members,
             told_s=round(now - quotas.led_at, 2) if quotas.has_been_led else None,
-            alone=is_alone,
+            alone=quotas.is_alone(now),
         )
-        detail = "quota of the account" + (", own share" if is_alone else "")
-        return refuse(Reason.RATE_LIMITED, detail, retry_after_s)
+        return error
 
     def _find_label(self, account: ClientAccount) -> str:
         if account.name in self._labels:
--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -1,6 +1,7 @@
 """Expected wait and duration of requests at upstreams."""
 
 from time import monotonic
+from typing import Self
 
 from plantaincart_core.admission import LatencyEstimate
 from plantaincart_core.directory import UpstreamRecord
@@ -36,6 +37,12 @@
         self._view = view
         self._mean_work_s: dict[str, float] = {}
 
+    def copy(self, view: SystemView) -> Self:
+        """Return a copy that reads another state and learns apart."""
+        copied = type(self)(self._settings, view)
+        copied._mean_work_s = dict(self._mean_work_s)
+        return copied
+
     def estimate(self, call: Call, record: UpstreamRecord) -> LatencyEstimate:
         """Return the expected wait and duration of a request at an upstream."""
         loads = self._view.loads
--- a/packages/router/plantaincart_router/direct/entryqueue.py
+++ b/packages/router/plantaincart_router/direct/entryqueue.py
@@ -3,9 +3,11 @@
 from asyncio import Future, get_running_loop, timeout_at
 from collections import Counter
 from collections.abc import Callable, Sequence
+from copy import copy
 from dataclasses import dataclass, field
 from itertools import count
 from time import monotonic
+from typing import Self
 
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.waitingorder import (
@@ -87,6 +89,16 @@
     def __len__(self) -> int:
         return len(self._order)
 
+    def copy(self, gate: RoomGate) -> Self:
+        """Return a copy with another gate, of which estimates may be asked."""
+        copied = copy(self)
+        copied._gate, copied._numbers = gate, copy(self._numbers)
+        return copied
+
+    def is_wanted(self, record: UpstreamRecord) -> bool:
+        """Whether requests wait for room at an upstream."""
+        return self._wanted[record.id, record.born] > 0
+
     def try_take(self, record: UpstreamRecord) -> bool:
         """Take room at an upstream, unless those who wait need it."""
         if self._wanted[(record.id, record.born)]:
--- a/packages/router/plantaincart_router/direct/pacesource.py
+++ b/packages/router/plantaincart_router/direct/pacesource.py
@@ -114,12 +114,17 @@
 
     def allows(self, call: Call, record: UpstreamRecord, now: float) -> bool:
         """Return whether an upstream isn't paced, or may get this request."""
+        share = self.find_share(record, now)
+        return share >= 1.0 or self._random.random() < share
+
+    def find_share(self, record: UpstreamRecord, now: float) -> float:
+        """Return the share of requests for which an upstream is considered."""
         paces = self._view.paces
         limit = paces.find_limit(record.id, now) if len(paces) else None
         most = self._source.find_limit(record, now)
         if limit is None or most is None:
-            return True
+            return 1.0
         loads = self._view.loads
         if loads.get(record.id).estimate_in_flight(now, loads.settings) >= most:
-            return False
-        return self._random.random() < limit / max(1, record.slots)
+            return 0.0
+        return min(1.0, limit / max(1, record.slots))
--- a/packages/router/plantaincart_router/direct/quota.py
+++ b/packages/router/plantaincart_router/direct/quota.py
@@ -4,9 +4,11 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable
+from copy import copy
 from dataclasses import dataclass, field
 from itertools import count
 from time import monotonic, time
+from typing import Self
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.namedlimit import NamedLimit, NamedLimits, Process
@@ -79,6 +81,23 @@
         self._last_turns: dict[Process, int] = {}
         self._numbers = count()
 
+    def copy(self) -> Self:
+        """Return a copy whose permits are taken apart; nobody hears of its waiters."""
+        loop = get_running_loop()
+        copied = copy(self)
+        copied.on_wait = _ignore
+        copied._permits = {name: deque(held) for name, held in self._permits.items()}
+        copied._last_turns = dict(self._last_turns)
+        copied._waiters = {
+            process: [
+                _Waiter(waiter.priority, waiter.number, loop.create_future())
+                for waiter in waiters
+            ]
+            for process, waiters in self._waiters.items()
+        }
+        copied._numbers = count()
+        return copied
+
     def record_answer(
         self,
         record: UpstreamRecord,
--- a/packages/router/plantaincart_router/direct/rankadmission.py
+++ b/packages/router/plantaincart_router/direct/rankadmission.py
@@ -1,5 +1,8 @@
 """Admission by rank while a service is short of room at all instances."""
 
+from copy import deepcopy
+from typing import Self
+
 from plantaincart_core.rank import Rank
 from plantaincart_core.rankcut import RankCount, ShareCounter
 from plantaincart_core.verdict import Reason, Refusal
@@ -48,6 +51,18 @@
         self._metrics = metrics
         self._counters: dict[tuple[str, Rank], ShareCounter] = {}
 
+    def copy(
+        self,
+        fact: RankFact,
+        costs: CostEstimator,
+        rejections: RejectionFactory,
+        metrics: RouterMetrics,
+    ) -> Self:
+        """Return a copy that counts requests apart."""
+        copied = type(self)(fact, costs, rejections, metrics)
+        copied._counters = deepcopy(self._counters)
+        return copied
+
     def check(self, call: Call, now: float) -> None:
         """Let a request pass by the share of its rank, or reject it."""
         service, rank = call.service.name, call.rank
--- a/packages/router/plantaincart_router/direct/rankfact.py
+++ b/packages/router/plantaincart_router/direct/rankfact.py
@@ -1,7 +1,8 @@
 """Requests by rank, and the share of each that all instances admit."""
 
 from collections.abc import Iterable, Mapping
-from typing import Any
+from copy import copy
+from typing import Any, Self
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.rank import Rank
@@ -55,6 +56,13 @@
         self._told_at = float("-inf")
         self._own: dict[str, RankCut] = {}
 
+    def copy(self) -> Self:
+        """Return a copy that counts requests apart; own sums stay as they are."""
+        copied = copy(self)
+        copied._counts, copied._own = {}, {}
+        copied._told = dict(self._told)
+        return copied
+
     def record(self, service: str, rank: Rank, count: RankCount) -> None:
         """Count requests of a service and rank."""
         key = (service, rank)
--- a/packages/router/plantaincart_router/direct/sharedroom.py
+++ b/packages/router/plantaincart_router/direct/sharedroom.py
@@ -3,7 +3,9 @@
 from asyncio import TimerHandle, get_running_loop
 from collections import Counter
 from collections.abc import Callable, Sequence
+from copy import copy, deepcopy
 from time import monotonic
+from typing import Self
 
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.room import RoomSettings
@@ -102,6 +104,17 @@
         self._backoffs = backoffs
         self._connect_failures = connect_failures
 
+    def copy(self, loads: UpstreamLoads) -> Self:
+        """Return a copy whose units are taken apart, and which asks for none."""
+        copied = copy(self)
+        copied.ask = copied._listener = _ignore
+        copied.share = deepcopy(self.share)
+        copied._loads = loads
+        copied._full, copied._queues = Counter(), {}
+        copied._usage = deepcopy(self._usage)
+        copied._fallback = dict(self._fallback)
+        return copied
+
     def try_acquire(self, record: UpstreamRecord, now: float) -> bool:
         """Take a unit of room at an upstream, if there is one."""
         if not self.has_room(record, now):
