Explain where a request would go, on the metrics address of an instance

GET /where answers which route, account, service, owner and upstreams a request would have now, and whether it would be sent, wait or be refused. The decision runs through the gateway's own selector, candidates, costs, admission and policies, over copies of the state that they change, and ends where a request would wait. Tests compare the whole state before and after each question, and the explanation with what the gateway does next, over drawn states.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -28,7 +28,7 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 
-__all__ = ["Coordinator"]
+__all__ = ["SEQUENCE_BITS", "Coordinator"]
 
 # A fencing token is one integer: the epoch, followed by a sequence number of this many
 # bits.
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -50,6 +50,7 @@
 from plantaincart_router.direct.silenceguard import SilenceGuard
 from plantaincart_router.direct.transport import DirectTransport
 from plantaincart_router.direct.view import SystemView
+from plantaincart_router.direct.where.trial import DecisionParts
 from plantaincart_router.http.caller import CallerConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 from plantaincart_router.log import write_event
@@ -89,6 +90,8 @@
 
     Attributes
     ----------
+    decision_parts : DecisionParts
+        Parts whose state a decision depends on, besides the view.
     in_flight : int
         Requests of callers in progress.
     relay : RelayHandler
@@ -136,6 +139,7 @@
             self._rejections,
             metrics,
         )
+        rank_admission: RankAdmission | None = None
         account_turns = AccountTurnPolicy()
         # Turns are taken last, so that a request that is rejected takes none.
         self._policies: tuple[EntryPolicy, ...] = (account_turns,)
@@ -145,6 +149,7 @@
             )
             self._policies = (rank_admission, account_turns)
         self._gate: RoomGate = view.room
+        queue = EntryQueue(self._gate, settings.queue, account_turns.choose_turn)
         self._selector = UpstreamSelector(
             settings,
             view,
@@ -154,9 +159,19 @@
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
             self._gate,
-            EntryQueue(self._gate, settings.queue, account_turns.choose_turn),
+            queue,
             metrics,
         )
+        self.decision_parts = DecisionParts(
+            costs=self._costs,
+            cold_limiter=cold_limiter,
+            transport=self._transport,
+            queue=queue,
+            answer_memory=self._answer_memory,
+            retries=self._retries,
+            account_turns=account_turns,
+            rank_admission=rank_admission,
+        )
         sender = UpstreamSender(
             view, header_codec, self._transport, cold_limiter, self._costs, metrics
         )
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -17,6 +17,9 @@
 from plantaincart_router.direct.reachabilityprobe import ReachabilityProbe
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
+from plantaincart_router.direct.where.explainer import RequestExplainer
+from plantaincart_router.direct.where.handler import WhereHandler
+from plantaincart_router.direct.where.question import WHERE_PATH
 from plantaincart_router.http.caller import CallerConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
 from plantaincart_router.http.pacing import BulkPacer
@@ -83,6 +86,14 @@
             _allow_relay_fields(INITIAL_LIMITS), self.gateway.relay.handle, held, pacer
         )
         self._ready_server = HttpServer(INITIAL_LIMITS, self._answer_ready)
+        self._where = WhereHandler(
+            RequestExplainer(
+                settings,
+                self.view,
+                platform.header_codec,
+                self.gateway.decision_parts,
+            )
+        )
         self._metrics_server = HttpServer(INITIAL_LIMITS, self._answer_metrics)
         self.follower = Follower(settings, self.view, platform)
         reader = platform.reader
@@ -170,6 +181,8 @@
     async def _answer_metrics(
         self, request: HttpRequest, caller: CallerConnection
     ) -> HttpAnswer:
+        if request.target.partition("?")[0] == WHERE_PATH:
+            return await self._where.answer(request)
         headers = (("content-type", METRICS_CONTENT_TYPE),)
         return HttpAnswer(200, headers, self.metrics.render())
 
