Add the operator command where

It asks one or several instances where a request would go now, and shows the decisions with what each instance knows, as text or JSON. Keys of accounts are carried in a header field and shown nowhere.

--- a/packages/operator/plantaincart_operator/command.py
+++ b/packages/operator/plantaincart_operator/command.py
@@ -17,6 +17,7 @@
     show_status,
     show_timeline,
 )
+from plantaincart_operator.where_command import show_where
 
 __all__ = ["app", "main", "run_command"]
 
@@ -33,6 +34,7 @@
 app.command(show_key, name="key")
 app.command(show_timeline, name="timeline")
 app.command(show_request, name="explain")
+app.command(show_where, name="where")
 
 
 def run_command(arguments: Sequence[str] | None = None) -> int:
--- a/packages/operator/plantaincart_operator/tests/test_command.py
+++ b/packages/operator/plantaincart_operator/tests/test_command.py
@@ -23,6 +23,7 @@
     "status",
     "key",
     "timeline",
+    "where",
 ]
 SHEET = "kind,name,action\nplanet,x,out\ndata_centre,,out\n"
 
@@ -55,6 +56,12 @@
             ExitCode.UNAVAILABLE,
         ),
         (["timeline", "{folder}"], ExitCode.USAGE),
+        (["where"], ExitCode.USAGE),
+        (["where", "h:x", "GET", "http://a/"], ExitCode.USAGE),
+        (["where", "h:70000", "GET", "http://a/"], ExitCode.USAGE),
+        (["where", ",", "GET", "http://a/"], ExitCode.USAGE),
+        (["where", "h", "GET", "/path"], ExitCode.USAGE),
+        (["where", "h", "GET", "http://a/", "--header", "x"], ExitCode.USAGE),
     ],
 )
 def test_exit_codes(arguments: list[str], code: ExitCode, tmp_path: Path) -> None:
