--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from time import monotonic
+from typing import Self
 
 from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
 from plantaincart_core.directory import UpstreamRecord
@@ -79,6 +80,12 @@
         self._costs = costs
         self._rejections = rejections
 
+    def copy(
+        self, view: SystemView, costs: CostEstimator, rejections: RejectionFactory
+    ) -> Self:
+        """Return a copy that decides by another state, and learns apart."""
+        return type(self)(self._settings, view, costs, rejections)
+
     def assess(
         self, call: Call, record: UpstreamRecord
     ) -> tuple[LatencyEstimate, Admission]:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -149,13 +149,14 @@
             )
             self._policies = (rank_admission, account_turns)
         self._gate: RoomGate = view.room
+        admission = AdmissionControl(settings, view, self._costs, self._rejections)
         queue = EntryQueue(self._gate, settings.queue, account_turns.choose_turn)
         self._selector = UpstreamSelector(
             settings,
             view,
             self._candidates,
             self._costs,
-            AdmissionControl(settings, view, self._costs, self._rejections),
+            admission,
             PermitWait(settings, view, self._costs, self._candidates),
             self._rejections,
             self._gate,
@@ -164,6 +165,7 @@
         )
         self.decision_parts = DecisionParts(
             costs=self._costs,
+            admission=admission,
             cold_limiter=cold_limiter,
             transport=self._transport,
             queue=queue,
--- a/packages/router/plantaincart_router/direct/where/trial.py
+++ b/packages/router/plantaincart_router/direct/where/trial.py
@@ -54,6 +54,8 @@
     ----------
     costs : CostEstimator
         Expected wait and duration, with what was learnt.
+    admission : AdmissionControl
+        Decides whether a request can be answered in time.
     cold_limiter : ColdUpstreamLimiter
         Requests that were sent to cold upstreams.
     transport : AttemptTransport
@@ -71,6 +73,7 @@
     """
 
     costs: CostEstimator
+    admission: AdmissionControl
     cold_limiter: ColdUpstreamLimiter
     transport: AttemptTransport
     queue: EntryQueue
@@ -149,7 +152,7 @@
             rejections,
             metrics,
         )
-        self.admission = AdmissionControl(settings, view, self.costs, rejections)
+        self.admission = parts.admission.copy(view, self.costs, rejections)
         self.quarantine = QuarantineCheck(view, metrics)
         self._policies: tuple[EntryPolicy, ...] = (deepcopy(parts.account_turns),)
         if parts.rank_admission is not None:
