--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -1,8 +1,10 @@
 """Admission of requests to the upstream that would run them."""
 
 from abc import ABC, abstractmethod
+from copy import deepcopy
 from dataclasses import replace
 from time import monotonic
+from typing import Self
 
 from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
 from plantaincart_core.directory import UpstreamRecord
@@ -82,6 +84,14 @@
         self._rejections = rejections
         self._bounds = WaitBounds()
 
+    def copy(
+        self, view: SystemView, costs: CostEstimator, rejections: RejectionFactory
+    ) -> Self:
+        """Return a copy that decides by another state, and learns apart."""
+        copied = type(self)(self._settings, view, costs, rejections)
+        copied._bounds = deepcopy(self._bounds)
+        return copied
+
     def assess(
         self, call: Call, record: UpstreamRecord
     ) -> tuple[LatencyEstimate, Admission]:
