Let instances that the store doesn't answer learn of a new coordinator from others

Cause: nobody but the store told who the coordinator is. Instances that were cut from the store while the coordinator changed had none for as long as that lasted, although they reached it: no tokens, loads, room or map.

Change: notices name a few members now and then. An instance without a coordinator, whose read of the row fails or takes 0.3 s, asks these by a report that makes it no member (inquires); who hears a coordinator of a later epoch answers by a notice with its address. A term that was told is followed only if nobody is heard and its epoch is later than all known ones; an older answer of the store doesn't replace it within an era; claims stay conditional writes.

Result: test_inquiry.py; without the question its three tests of following fail. Where the row can be read, nobody is asked (tested).

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -20,6 +20,11 @@
 from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.feed import TableFeed
+from plantaincart_router.direct.inquiry import (
+    CoordinatorInquiry,
+    answer_inquiry,
+    make_term,
+)
 from plantaincart_router.direct.interface import Platform
 from plantaincart_router.direct.membership import INTRODUCTION_S
 from plantaincart_router.direct.messagecheck import check_notice, check_report
@@ -55,6 +60,10 @@
 # Seconds after a notice with an extended grant duration for which a successor assumes
 # that such grants may still be valid.
 LONG_GRANTS_MEMORY_S = 40.0
+# Seconds for which the store may take to tell the coordinator before others are asked,
+# and intervals between reports from one question to the next.
+INQUIRY_DELAY_S = 0.3
+INQUIRY_REPORTS = 2
 # Minimum interval in seconds between reports of requests that begin to wait.
 MIN_REPORT_INTERVAL_S = 0.05
 # Seconds after the end of a term without upstreams for which an instance is taken to be
@@ -98,6 +107,7 @@
         self._context: Context = Context()  # type: ignore[type-arg]
         self._report_socket: LoopSocket | None = None
         self._notice_socket: LoopSocket | None = None
+        self._inquired_at = float("-inf")
         self._peer_identities: dict[str, bytes] = {}
         self._row: CoordinatorRow | None = None
         self._row_version = 0
@@ -137,6 +147,7 @@
             self._context, ROUTER, loop, self._receive_report
         )
         self._report_socket.bind(self._settings.host, self._settings.peer_port)
+        self._inquiry = CoordinatorInquiry(self._context, loop, self._adopt_answer)
         self._task = create_task(self._run())
 
     def announce(self) -> None:
@@ -159,6 +170,7 @@
         self._probe.close()
         if self.coordinator is not None:
             self.coordinator.end("stopped")
+        self._inquiry.close()
         for socket in (self._report_socket, self._notice_socket):
             if socket is not None:
                 socket.close()
@@ -171,6 +183,7 @@
             except StoreUnavailableError as error:
                 self._row_read_failed = True
                 write_event("coordinator_row_unread", error=str(error))
+                self._inquire()
             except Exception as error:
                 write_event("follower_failed", error=repr(error))
             await sleep(self._times.report_s)
@@ -183,13 +196,7 @@
             self._row = None
             self._coordinator_resigned = False
         self._report()
-        if self.coordinator is not None or self._leaving:
-            return
-        if (
-            self._row is None
-            or self._coordinator_resigned
-            or self._is_coordinator_silent()
-        ):
+        if self._lacks_coordinator and not self._leaving:
             await self._find_or_replace_coordinator()
 
     def _is_coordinator_silent(self) -> bool:
@@ -220,7 +227,11 @@
         return times.row_read_s + extra_s
 
     async def _read_row(self) -> None:
-        view = await self._platform.store.read(COORDINATOR_TABLE)
+        timer = self._loop.call_later(INQUIRY_DELAY_S, self._inquire)
+        try:
+            view = await self._platform.store.read(COORDINATOR_TABLE)
+        finally:
+            timer.cancel()
         now = monotonic()
         if self._row_read_failed:
             # Calls that were sent during the outage may never be answered.
@@ -230,9 +241,13 @@
         gap_s = now - self._row_read_at
         self._row_read_at = now
         self._probe.record_answer(now)
+        is_same_era = view.era == self._era
         self._record_era(view)
         current = find_term(view)
         row, version = current or (None, 0)
+        if is_same_era and row is not None and row.epoch < self._get_known_epoch():
+            # The answer is older than what other instances have told.
+            return
         if version != self._row_version or gap_s > self._times.unchanged_s * 2:
             self._row_changed_at = now
         if row is None:
@@ -244,6 +259,68 @@
         if old is None or (old.holder, old.epoch) != (row.holder, row.epoch):
             self._connect(row)
 
+    def _get_known_epoch(self) -> int:
+        """Return the latest epoch of which this instance knows the holder."""
+        return 0 if self._row is None else self._row.epoch
+
+    @property
+    def _lacks_coordinator(self) -> bool:
+        return self.coordinator is None and (
+            self._row is None
+            or self._coordinator_resigned
+            or self._is_coordinator_silent()
+        )
+
+    def _inquire(self) -> None:
+        """Ask other instances for the coordinator, while the store doesn't tell."""
+        interval_s = INQUIRY_REPORTS * self._times.report_s
+        is_due = monotonic() - self._inquired_at >= interval_s
+        peers = self._view.peer_fact.addresses
+        if self._lacks_coordinator and not self._leaving and is_due and peers:
+            self._inquired_at = monotonic()
+            self._inquiry.ask(self._make_inquiry(), peers)
+
+    def _make_inquiry(self) -> MemberReport:
+        return MemberReport(
+            member=self._settings.name,
+            incarnation=self._incarnation,
+            address=self._peer_address(self._settings),
+            epoch=max(self._view.epoch, self._get_known_epoch()),
+            map_version=0,
+            store_silent_s=-1.0,
+            inquires=True,
+        )
+
+    def _answer_inquiry(self, identity: bytes, report: MemberReport) -> None:
+        """Name a coordinator that acts, if its epoch is later than the one known."""
+        term = None
+        if self.coordinator is not None:
+            if not self.coordinator.ended:
+                address = self._peer_address(self._settings)
+                term = make_term(self._settings.name, address, self.coordinator.epoch)
+        elif self._last_notice_at > self._connected_at and not self._lacks_coordinator:
+            # Its notices have come lately.
+            term = self._row
+        if term is not None and term.epoch > report.epoch and self._report_socket:
+            self._report_socket.send([identity, *answer_inquiry(term)])
+
+    def _adopt_answer(self, term: CoordinatorRow) -> None:
+        """Follow a coordinator that another instance has named."""
+        known_epoch = max(self._view.epoch, self._get_known_epoch())
+        is_own = term.holder == self._settings.name
+        if not self._lacks_coordinator or is_own or term.epoch <= known_epoch:
+            return
+        write_event("coordinator_told", holder=term.holder, epoch=term.epoch)
+        # The version of the row isn't known, so a claim of this instance fails until it
+        # has read the row.
+        self._row, self._row_changed_at = term, monotonic()
+        self._inquiry.close()
+        self._connect(term)
+
+    @staticmethod
+    def _peer_address(settings: DirectSettings) -> str:
+        return f"{settings.host}:{settings.peer_port}"
+
     def _record_era(self, view: TableRows) -> None:
         if view.era > self._era:
             write_event("store_restored", previous=self._era, era=view.era)
@@ -260,7 +337,7 @@
         epoch = next_epoch(self._era, self._view.epoch, old.epoch if old else 0)
         row = CoordinatorRow(
             holder=self._settings.name,
-            address=f"{self._settings.host}:{self._settings.peer_port}",
+            address=self._peer_address(self._settings),
             epoch=epoch,
             beat=0,
             vacant=False,
@@ -376,7 +453,7 @@
         report = MemberReport(
             member=settings.name,
             incarnation=self._incarnation,
-            address=f"{settings.host}:{settings.peer_port}",
+            address=self._peer_address(settings),
             epoch=view.epoch,
             map_version=view.map_version,
             store_silent_s=self._probe.measure_silence(),
@@ -429,6 +506,9 @@
         except MalformedMessageError as error:
             write_event("report_unreadable", error=str(error))
             return
+        if report.inquires:
+            self._answer_inquiry(frames[0], report)
+            return
         self._peer_identities[report.member] = frames[0]
         if self.coordinator is not None:
             self.coordinator.receive(report)
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -14,6 +14,8 @@
 # its own data centre on, it is told no others.
 MAX_RELAYS = 4
 MIN_LOCAL_RELAYS = 2
+# Number of other instances that an instance is told, to ask them for the coordinator.
+MAX_PEERS = 6
 # Seconds for which a new member and a new coordinator tell each other all that the
 # other may have missed.
 INTRODUCTION_S = 5.0
@@ -207,6 +209,28 @@
         chosen = local if len(local) >= MIN_LOCAL_RELAYS else local + remote
         return [report.relay_address for report in chosen[:MAX_RELAYS]]
 
+    def choose_peers(self, name: str) -> list[str]:
+        """
+        Choose instances that a member can ask for a later coordinator.
+
+        Parameters
+        ----------
+        name : str
+            Name of the member.
+
+        Returns
+        -------
+        list of str
+            Host and port of each, at even distances of the ranks, so that those of one
+            data centre, which may be cut off together, aren't all of them.
+        """
+        names = self.list_names()
+        rank = self.find_rank(name)
+        others = [other for other in names[rank:] + names[:rank] if other != name]
+        count = min(MAX_PEERS, len(others))
+        chosen = [others[number * len(others) // count] for number in range(count)]
+        return [self._members[other].report.address for other in chosen]
+
     def count_backoffs(self) -> Counter[str]:
         """Count the members that each upstream has asked for a long pause."""
         return Counter(
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -30,6 +30,7 @@
 MAX_BORN_MS = 2**48
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
+MAX_PEERS = 64
 MAX_CRASH_RECORDS = 256
 MAX_CRASHED_UPSTREAMS = 256
 MAX_LIMITS = 4096
@@ -135,6 +136,9 @@
     )
     _check(all(map(_is_key_range, notice.changes)), "key range")
     _check(all(map(_is_address, notice.relays)), "relays")
+    _check(all(map(_is_address, notice.peers)), "peers")
+    _check(len(notice.peers) <= MAX_PEERS, "number of peers")
+    _check(not notice.address or _is_address(notice.address), "address")
     _check_room(notice.room, notice.room_asked_at, notice.room_version)
     _check_counts(notice.room_services, "room_services")
     _check_range(map(len, notice.silent_services), MAX_NAME_LENGTH, "silent services")
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -29,6 +29,7 @@
 from plantaincart_router.direct.limitfact import LimitFact
 from plantaincart_router.direct.loadfact import LoadFact
 from plantaincart_router.direct.pacefact import PaceFact
+from plantaincart_router.direct.peerfact import PeerFact
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.quota import UpstreamQuotas
 from plantaincart_router.direct.rangecodec import read_range
@@ -90,6 +91,8 @@
         Limits that upstreams have named.
     room : SharedRoom
         Room that this instance may use at upstreams.
+    peer_fact : PeerFact
+        Instances that can be asked for the coordinator.
     relay_fact : RelayFact
         Relays, and whether this instance needs them.
     silence_fact : SilenceFact
@@ -138,6 +141,7 @@
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
         self.relay_fact = RelayFact(settings.data_centre)
+        self.peer_fact = PeerFact()
         self.silence_fact = SilenceFact(SilenceSettings())
         self.account_fact = AccountFact(settings)
         self.rank_fact = RankFact(self.loads, self.directory)
@@ -153,6 +157,7 @@
         self.room.ask = lambda: self.quotas.on_wait()
         self.facts: tuple[SharedFact, ...] = (
             self.relay_fact,
+            self.peer_fact,
             self.silence_fact,
             CrashFact(self.crashes),
             LimitFact(self.quotas),
