--- a/packages/router/plantaincart_router/direct/peerfact.py
+++ b/packages/router/plantaincart_router/direct/peerfact.py
@@ -11,8 +11,10 @@
 
 __all__ = ["PeerFact"]
 
-# Notices between two that name peers; the first one names them too.
+# Notices between two that name peers. Early ones name them too; at the first one the
+# coordinator may not have heard of many members yet.
 NOTICES_BETWEEN = 16
+EARLY_NOTICES = (1, 5)
 
 
 class PeerFact(SharedFact):
@@ -55,7 +57,9 @@
         return False
 
     def describe(self, scope: NoticeScope) -> Mapping[str, Any]:
-        if not scope.answers_report or scope.member.notices % NOTICES_BETWEEN != 1:
+        notices = scope.member.notices
+        is_due = notices % NOTICES_BETWEEN == 0 or notices in EARLY_NOTICES
+        if not scope.answers_report or not is_due:
             return {}
         return {"peers": self._members.choose_peers(scope.member.report.member)}
 
