--- a/packages/testing/plantaincart_testing/listener.py
+++ b/packages/testing/plantaincart_testing/listener.py
@@ -74,6 +74,10 @@
             Fault to inject into the bytes of the answer.
         """
 
+    def handle_ignored(self) -> None:
+        """Handle bytes on a connection that is silent; they get no answer."""
+        return
+
 
 class Listener:
     """
@@ -163,6 +167,7 @@
     def data_received(self, data: bytes) -> None:
         if self.is_silent or self._listener.is_silent:
             self.is_silent = True
+            self._listener.handler.handle_ignored()
             return
         try:
             self._http.receive_data(data)
