Send nothing without a unit to the new owner of a hot key

Only instances whose requests had waited for the key waited for units. Now all do for 0.3 s when a range of a single key gets an owner: such ranges are divided off because they are hot.

--- a/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
@@ -8,6 +8,7 @@
 import pytest
 from plantaincart_core.ownermap import KeyRange
 from plantaincart_core.rank import Rank
+from plantaincart_core.roomshare import RoomGrant
 from plantaincart_core.waitingorder import QueueBounds
 from plantaincart_router.direct import entryqueue
 from plantaincart_router.direct.entryqueue import EntryQueue
@@ -23,7 +24,7 @@
     verdict,
 )
 from plantaincart_router.http.message import find_header
-from plantaincart_schema.generated.direct import RankShare
+from plantaincart_schema.generated.direct import MapChange, RankShare
 
 MAX_REFUSAL_S = 0.1
 
@@ -146,6 +147,35 @@
     assert (len(old.requests), len(new.requests)) == (0, 1)
 
 
+@pytest.mark.parametrize("last", [7, 99])
+async def test_owner_of_a_moved_hot_key_is_sent_nothing_without_a_unit(last):
+    """All instances hear at once that a hot key has moved (pattern hot_key)."""
+    upstream = Upstream()
+    async with run_gateway(upstream, plan=make_plan()) as (gateway, view):
+
+        def grant(version, **units):
+            view.room.apply(
+                RoomGrant(
+                    version=version,
+                    units=units,
+                    rooms={"ledger": 8},
+                    asked_at=monotonic(),
+                    instances=89,
+                )
+            )
+
+        grant(1)
+        change = MapChange(
+            service="ledger", first=7, last=last, owner="u0", born=1, fence=2
+        )
+        view._apply_changes([change])
+        task = create_task(call_gateway(gateway, key=7))
+        await sleep(0.1)
+        assert len(upstream.requests) == (0 if last == 7 else 1)
+        grant(2, u0=1)
+        assert (await task).status == 200
+
+
 async def test_callers_return_to_a_full_owner_spread_and_in_time():
     """Many callers ask for keys of one owner within a moment (pattern hot_key)."""
     plan = make_plan(timeout_s=5.0)
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -509,6 +509,10 @@
             owners.assign(key_range)
             if key_range.owner:
                 self.unowned.discard_expected(change.service, key_range)
+                if key_range.first == key_range.last:
+                    # A key that was divided off is hot: all instances have requests
+                    # for it, and none of them counts those that others send now.
+                    self.room.share.doubt(key_range.owner, monotonic())
             elif change.free_in_s > 0.0:
                 free_at = monotonic() + change.free_in_s
                 self.unowned.set_expected_at(change.service, key_range, free_at)
