--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for a request, or its rejection."""
 
+from asyncio import sleep
 from collections.abc import Iterable, Sequence
 from random import Random
 from time import monotonic
@@ -7,6 +8,7 @@
 from plantaincart_core.choice import choose_cheapest
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.verdict import Reason
+from plantaincart_core.waitingorder import QueueBounds
 
 from plantaincart_router.direct.admissioncontrol import AdmissionControl
 from plantaincart_router.direct.call import Call
@@ -82,6 +84,7 @@
         self._queue = queue
         self._metrics = metrics
         self._random = Random()
+        self._yielding = _Yielding(settings.queue)
 
     async def find_upstream(self, call: Call) -> UpstreamRecord:
         """
@@ -138,6 +141,8 @@
         """Take a unit of room, or wait for one while the request can be served."""
         record, others = await self._find_candidates(call)
         started_at = monotonic()
+        if call.service.keyed:
+            record = await self._let_urgent_pass(call, record)
         while not self._queue.try_take(record):
             now = monotonic()
             latest_at = self._admission.find_latest(call, record, now)
@@ -165,6 +170,29 @@
                 record, others = await self._find_candidates(call)
         return record
 
+    async def _let_urgent_pass(
+        self, call: Call, record: UpstreamRecord
+    ) -> UpstreamRecord:
+        """Wait while more urgent requests need the queue at the owner of a key."""
+        started_at, is_first = monotonic(), True
+        while self._admission.must_yield(call, record, is_first):
+            is_first, now = False, monotonic()
+            latest_at = self._admission.find_latest(call, record, now)
+            waits_too_long = now + RECHECK_S > latest_at
+            has_left = call.caller.disconnected.is_set()
+            if waits_too_long or has_left or not self._yielding.add(call):
+                raise self._rejections.refuse_full(
+                    call, record, now - started_at, RECHECK_S
+                )
+            try:
+                await sleep(RECHECK_S)
+            finally:
+                self._yielding.discard(call)
+            record, _ = await self._find_candidates(call)
+        if not is_first:
+            self._record_wait(call, record, monotonic() - started_at)
+        return record
+
     def _record_wait(self, call: Call, record: UpstreamRecord, waited_s: float) -> None:
         self._metrics.observe("entry_wait_seconds", waited_s, call.service.name)
         write_event(
@@ -264,3 +292,27 @@
             self._view.room.record_shortage(call.service.name)
         self._admission.admit(call, cheapest)
         return cheapest
+
+
+class _Yielding:
+    """Requests that let more urgent ones pass, within the bounds of the queue."""
+
+    def __init__(self, bounds: QueueBounds) -> None:
+        self._bounds = bounds
+        self._count = 0
+        self._bytes = 0
+
+    def add(self, call: Call) -> bool:
+        size = len(call.request.body)
+        if (
+            self._count >= self._bounds.max_waiting
+            or self._bytes + size > self._bounds.max_bytes
+        ):
+            return False
+        self._count += 1
+        self._bytes += size
+        return True
+
+    def discard(self, call: Call) -> None:
+        self._count -= 1
+        self._bytes -= len(call.request.body)
