--- a/packages/router/plantaincart_router/direct/rejection.py
+++ b/packages/router/plantaincart_router/direct/rejection.py
@@ -185,6 +185,8 @@
             # Callers that return earlier only delay others.
             full_s = load.measure_full_s(now, loads.settings)
             retry_after_s = max(retry_after_s, full_s)
+        if not self._view.room.share.is_divided(record.service):
+            return self.refuse_unserved(call, Reason.QUEUE_FULL, detail, retry_after_s)
         return self.refuse_short(call, detail, retry_after_s, expected.work_s)
 
     def refuse_full(
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -141,7 +141,7 @@
         """Take a unit of room, or wait for one while the request can be served."""
         record, others = await self._find_candidates(call)
         started_at = monotonic()
-        if call.service.keyed:
+        if call.service.keyed and self._view.room.share.is_divided(call.service.name):
             record = await self._let_urgent_pass(call, record)
         while not self._queue.try_take(record):
             now = monotonic()
--- a/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
+++ b/packages/router/plantaincart_router/direct/tests/test_entry_wait.py
@@ -38,6 +38,18 @@
         yield gateway, view
 
 
+def grant_room(view, version, **units):
+    """Divide the room among many instances, and give this one some units."""
+    grant = RoomGrant(
+        version=version,
+        units=units,
+        rooms={"ledger": 8},
+        asked_at=monotonic(),
+        instances=89,
+    )
+    view.room.apply(grant)
+
+
 async def test_request_waits_for_room_and_gives_it_back():
     gate = FakeGate()
     upstream = Upstream()
@@ -152,19 +164,7 @@
     """All instances hear at once that a hot key has moved (pattern hot_key)."""
     upstream = Upstream()
     async with run_gateway(upstream, plan=make_plan()) as (gateway, view):
-
-        def grant(version, **units):
-            view.room.apply(
-                RoomGrant(
-                    version=version,
-                    units=units,
-                    rooms={"ledger": 8},
-                    asked_at=monotonic(),
-                    instances=89,
-                )
-            )
-
-        grant(1)
+        grant_room(view, 1)
         change = MapChange(
             service="ledger", first=7, last=last, owner="u0", born=1, fence=2
         )
@@ -172,7 +172,7 @@
         task = create_task(call_gateway(gateway, key=7))
         await sleep(0.1)
         assert len(upstream.requests) == (0 if last == 7 else 1)
-        grant(2, u0=1)
+        grant_room(view, 2, u0=1)
         assert (await task).status == 200
 
 
@@ -181,6 +181,7 @@
     plan = make_plan(timeout_s=5.0)
     async with run_gateway(Upstream(), plan=plan) as (gateway, view):
         view.loads._work_s["lookup"] = 0.05
+        grant_room(view, 1, u0=8)
         delays = []
         for at in range(20):
             view.loads.record_in_flight("u0", 40, 2, monotonic())
@@ -202,6 +203,7 @@
     patient = replace(route, priority=2, target_s=4.0)
     plan = replace(plan, routes=(urgent, patient))
     async with run_gateway(upstream, plan=plan) as (gateway, view):
+        grant_room(view, 1, u0=8)
         for name in ("urgent", "lookup"):
             view.loads._work_s[name] = 0.1
 
