Take fewer callers to have come back

A request with less than 0.95 of the longest time seen for its route was taken for one that was turned away before. Those that are taken so go first in the retry budget and in a cut. The bound is 0.8 now: returns after less than a fifth of the time aren't recognised.

--- a/packages/core/plantaincart_core/returning.py
+++ b/packages/core/plantaincart_core/returning.py
@@ -2,9 +2,9 @@
 
 __all__ = ["ReturnDetector"]
 
-# A request with a smaller share of its route's usual time left has probably been turned
-# away before.
-RETURNING_SHARE = 0.95
+# A request with a smaller share of its route's longest time left has probably been
+# turned away before. The deadlines of callers of one route differ by a tenth or two.
+RETURNING_SHARE = 0.8
 # Factor by which the longest time seen for a route is forgotten with each request.
 LONGEST_DECAY = 0.999
 MAX_ROUTES = 4096
@@ -17,8 +17,9 @@
     Notes
     -----
     A retry of a caller is a request with an id of its own; only its deadline shows that
-    there was an earlier one. Callers with a shorter deadline than others are taken to
-    return, which puts them before those with more time.
+    there was an earlier one. Callers that come back soon aren't told from those with a
+    somewhat shorter deadline. Callers with a much shorter one are taken to return,
+    which puts them before those with more time.
 
     Examples
     --------
