Let a cut end after upstreams have finished nothing

The room of a service whose upstreams finished nothing in the last steps was 0, which grows by no factor: nothing would have been admitted any more. At least a tenth of what is asked for is admitted now; the test stops all upstreams for 2 s.

--- a/packages/core/plantaincart_core/rankcut.py
+++ b/packages/core/plantaincart_core/rankcut.py
@@ -36,6 +36,9 @@
 ROOM_STEPS = 4
 # Share of the room by which more is admitted, so that upstreams have requests waiting.
 SPARE_SHARE = 0.05
+# Share of what is asked for that is admitted at least, so that upstreams that have
+# finished nothing for a while show that they work again.
+LEAST_ROOM_SHARE = 0.1
 # Share of its requests that each rank gets at least, relative to that of all ranks.
 FLOOR_SHARE = 0.3
 # Sums of shares such as 0.1 fall short of 1 by rounding.
@@ -225,7 +228,8 @@
             # An earlier coordinator has found the room; go on from there.
             self._room_per_s = asked_per_s * (1.0 - total.cut / total.asked)
         elif is_short and (self._room_per_s or self._short_steps >= SHORT_STEPS):
-            self._room_per_s = (1.0 + SPARE_SHARE) * max(self._served_per_s)
+            room_per_s = (1.0 + SPARE_SHARE) * max(self._served_per_s)
+            self._room_per_s = max(room_per_s, LEAST_ROOM_SHARE * asked_per_s)
             self._growth = MIN_GROWTH
         elif self._room_per_s is not None:
             is_full = busy_share >= SHORT_BUSY_SHARE
--- a/packages/core/plantaincart_core/tests/test_rankcut.py
+++ b/packages/core/plantaincart_core/tests/test_rankcut.py
@@ -250,6 +250,35 @@
     assert sum(step[3] for step in after[round(RECOVERY_S / STEP_S) :]) == 0
 
 
+def test_upstreams_that_finished_nothing_are_used_again():
+    """All upstreams stop for 2 s, and go on (pattern srv_slow of a whole service)."""
+    cut = RankCut()
+    cut.update(0.0, 0.0)
+    now = 0.0
+    for served in [100] * 8 + [0] * 8:
+        now += STEP_S
+        shares = {rank: cut.shares.get(rank, 1.0) for rank in (HIGH, LOW)}
+        for rank in (HIGH, LOW):
+            admitted = round(100 * shares[rank])
+            count = RankCount(
+                asked=100,
+                cut=100 - admitted,
+                served=min(served, admitted),
+                refused=max(0, admitted - served),
+            )
+            cut.record(rank, count)
+        cut.update(now, busy_share=1.0 if not served else 0.6)
+    assert 0.0 < cut.shares[LOW] < cut.shares[HIGH] < 0.5
+    steps = 0
+    while cut.shares:
+        now, steps = now + STEP_S, steps + 1
+        for rank in (HIGH, LOW):
+            admitted = round(100 * cut.shares[rank])
+            cut.record(rank, RankCount(asked=100, cut=100 - admitted, served=admitted))
+        cut.update(now, busy_share=0.6)
+    assert steps * STEP_S <= 2.0
+
+
 def test_short_refusals_at_a_start_begin_no_cut():
     """Requests are refused for a moment although upstreams finish all (scale_out)."""
     cut = RankCut()
