Learn lasting speed from times that aren't divided by what upstreams state

By the log all owners were treated alike, the slowest quarter was asked as often as the fastest. Suspected, not proved: a machine that is slow for good states so, and its time divided by that shows nothing.

--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -173,4 +173,6 @@
             now = monotonic()
             speeds.record_statement(record.id, record.service, slowdown, now, work)
         if not queued:
-            speeds.record_answer(record.id, seconds, net_s, slowdown)
+            # A machine that is slow for good may state that, too, so that the lasting
+            # factor isn't divided by what is stated.
+            speeds.record_answer(record.id, seconds, usual_s, 1.0)
