--- a/packages/router/plantaincart_router/direct/tests/test_where.py
+++ b/packages/router/plantaincart_router/direct/tests/test_where.py
@@ -461,6 +461,7 @@
         "share": st.sampled_from([1.0, 1.0, 0.6, 0.0]),
         "tokens": st.sampled_from([None, None, 0, 1, 2]),
         "earlier": st.integers(0, 2),
+        "mean_work_s": st.sampled_from([None, 0.05, 0.4]),
     }
 )
 
@@ -491,6 +492,8 @@
             for _ in range(3):
                 case.pools.connect_failures.record_failure(record, now)
     view.speeds.set_lasting(lasting)
+    if state["mean_work_s"] is not None:
+        case.gateway.decision_parts.costs._mean_work_s["ledger"] = state["mean_work_s"]
     if state["is_divided"]:
         units = {f"u{at}": item["units"] for at, item in enumerate(state["upstreams"])}
         divide_room(case, units)
@@ -571,6 +574,14 @@
         )
 
 
+async def test_what_was_learnt_is_used():
+    async with open_case() as case:
+        owned(case)
+        case.gateway.decision_parts.costs._mean_work_s["ledger"] = 0.4
+        service = (await case.explain()).services[0]
+        assert service.candidates[0].work_s == 0.4
+
+
 async def test_owner_is_described():
     async with open_case() as case:
         owned(case)
