--- a/packages/operator/plantaincart_operator/tests/test_command.py
+++ b/packages/operator/plantaincart_operator/tests/test_command.py
@@ -62,6 +62,7 @@
         (["where", ",", "GET", "http://a/"], ExitCode.USAGE),
         (["where", "h", "GET", "/path"], ExitCode.USAGE),
         (["where", "h", "GET", "http://a/", "--header", "x"], ExitCode.USAGE),
+        (["where", "h", "GET", "http://a/", "--header", "x: å"], ExitCode.USAGE),
     ],
 )
 def test_exit_codes(arguments: list[str], code: ExitCode, tmp_path: Path) -> None:
--- a/packages/operator/plantaincart_operator/where.py
+++ b/packages/operator/plantaincart_operator/where.py
@@ -108,8 +108,10 @@
             raise UsageError(f"URL {url!r}: http://HOST/PATH is expected")
         for at, field in enumerate(headers, start=1):
             name, colon, _ = field.partition(":")
-            if not colon or not name.strip() or not field.isprintable():
-                raise UsageError(f"header field {at}: NAME:VALUE is expected")
+            is_text = field.isascii() and field.isprintable()
+            if not colon or not name.strip() or not is_text:
+                # The text isn't repeated, as it may be the key of an account.
+                raise UsageError(f"header field {at}: NAME:VALUE in ASCII is expected")
         target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
         return cls(
             method=method,
