--- a/packages/router/plantaincart_router/direct/where/explainer.py
+++ b/packages/router/plantaincart_router/direct/where/explainer.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from plantaincart_core.account import ClientAccount
-from plantaincart_core.traffic import Route, WeightedService
+from plantaincart_core.traffic import Route, ServicePolicy, WeightedService
 from plantaincart_core.verdict import RefusedError
 from plantaincart_schema.generated.where import (
     AccountFacts,
@@ -163,19 +163,7 @@
         except RefusedError as error:
             return replace(explanation, decision=describe_refusal(error.refusal))
         now = monotonic()
-        call = Call(
-            self._header_codec.assign_account(
-                question.request, "" if account is None else account.name
-            ),
-            metadata,
-            CallerConnection(),
-            route,
-            policy,
-            now,
-            now + choose_time_limit_s(metadata, route),
-        )
-        if account is not None:
-            call.account, call.account_priority = account, account.priority
+        call = self._make_call(question, metadata, route, policy, account, now)
         trial = Trial(self._settings, view, self._parts)
         table = CandidateTable(self._settings, view, trial, self._parts.transport)
         candidates, omitted = table.list_facts(call)
@@ -192,7 +180,7 @@
             admitted_share=round(admitted_share, 4),
             retries_left=round(retries_left, 2),
             quarantined_s=trial.quarantine.measure_remaining_s(call),
-            owner=self._describe_owner(call) if policy.keyed else None,
+            owner=_describe_owner(call, view) if policy.keyed else None,
         )
         decision = _choose_likeliest(call, await trial.decide(call), candidates)
         if decision.outcome is Outcome.refused or decision.cause is WaitCause.token:
@@ -201,23 +189,42 @@
             explanation, candidates=candidates, omitted=omitted, decision=decision
         )
 
-    def _describe_owner(self, call: Call) -> OwnerFacts | None:
-        key, view = call.metadata.key, self._view
-        if key is None:
-            return None
-        key_range = view.find_owner(call.service.name, key)
-        expected_s = view.unowned.estimate_wait(call.service.name, key, monotonic())
-        if key_range is None:
-            return OwnerFacts(key=key, expected_s=expected_s)
-        return OwnerFacts(
-            key=key,
-            first=key_range.first,
-            last=key_range.last,
-            owner=key_range.owner,
-            fence=key_range.fence,
-            epoch=key_range.fence >> SEQUENCE_BITS,
-            expected_s=expected_s,
-        )
+    def _make_call(
+        self,
+        question: Question,
+        metadata: RequestMetadata,
+        route: Route,
+        policy: ServicePolicy,
+        account: ClientAccount | None,
+        now: float,
+    ) -> Call:
+        name = "" if account is None else account.name
+        request = self._header_codec.assign_account(question.request, name)
+        deadline_at = now + choose_time_limit_s(metadata, route)
+        caller = CallerConnection()
+        call = Call(request, metadata, caller, route, policy, now, deadline_at)
+        if account is not None:
+            call.account, call.account_priority = account, account.priority
+        return call
+
+
+def _describe_owner(call: Call, view: ViewSnapshot) -> OwnerFacts | None:
+    key = call.metadata.key
+    if key is None:
+        return None
+    expected_s = view.unowned.estimate_wait(call.service.name, key, monotonic())
+    key_range = view.find_owner(call.service.name, key)
+    if key_range is None:
+        return OwnerFacts(key=key, expected_s=expected_s)
+    return OwnerFacts(
+        key=key,
+        first=key_range.first,
+        last=key_range.last,
+        owner=key_range.owner,
+        fence=key_range.fence,
+        epoch=key_range.fence >> SEQUENCE_BITS,
+        expected_s=expected_s,
+    )
 
 
 def _choose_likeliest(
