--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -274,7 +274,7 @@
     standing_shares: tuple[float, ...] = (1.2, 1.1, 1.0)
     least_retry_s: float = 0.1
     most_retry_s: float = 2.0
-    cuts_by_rank: bool = True
+    cuts_by_rank: bool = False
 
     def choose_share(self, rank: int, standing: bool) -> float:
         """
