Search no source of connections in the proxy once its faults are over

In the logs all instances' calls to the store and to all upstreams time out for 8 to 14 s, beginning some seconds after the fault of one instance was taken back; the proxy then uses 40 % of a core. It kept an entry for that source, and searched the source of each new connection in the kernel's table of all sockets: 30 ms of processor time a search (4,000 sockets on the machine, other tests beside), so some 30 connections a second hold up everything. It is the stall of the proxy that was suspected for test_cut_off. Change: faults equal to those of all sources leave no entry. The new test fails without it. While faults of single sources last, each connection is still searched.

--- a/packages/testing/plantaincart_testing/proxy.py
+++ b/packages/testing/plantaincart_testing/proxy.py
@@ -83,7 +83,10 @@
 
     def set_faults(self, faults: RouteFaults, source: str = "") -> None:
         """Set the faults of all sources, or the faults of one source instead."""
-        if source:
+        if source and faults == self._faults:
+            # No search is needed any more for new connections.
+            self._source_faults.pop(source, None)
+        elif source:
             self._source_faults[source] = faults
             self.set_source_names(
                 self._finder.find_names(self.list_unknown_source_ports())
--- a/packages/testing/plantaincart_testing/tests/test_proxy.py
+++ b/packages/testing/plantaincart_testing/tests/test_proxy.py
@@ -20,7 +20,7 @@
     RouteSettings,
 )
 from plantaincart_testing.source import SourceFinder
-from pytest import mark, raises
+from pytest import MonkeyPatch, mark, raises
 from pytest_asyncio import fixture
 
 HOST = "127.0.0.1"
@@ -111,6 +111,16 @@
     assert await send(await proxy.open()) == b"x"
 
 
+async def test_no_source_is_searched_once_its_faults_are_over(
+    proxy: ProxyFixture, monkeypatch: MonkeyPatch
+) -> None:
+    """A search reads all sockets of the machine, and holds up all connections."""
+    proxy.route.set_faults(RouteFaults(mode=PassMode.CUT), TEST_PROCESS)
+    proxy.route.set_faults(RouteFaults(), TEST_PROCESS)
+    monkeypatch.setattr(proxy.finder, "find_names", None)
+    assert await send(await proxy.open()) == b"x"
+
+
 async def test_silenced_connections_stay_silent(proxy: ProxyFixture) -> None:
     connection, other = await proxy.open(), await proxy.open()
     await send(connection)
