--- a/packages/router/plantaincart_router/direct/tests/cutsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/cutsystem.py
@@ -1,15 +1,6 @@
 """Instances with real sockets, each of which can be cut from all upstreams."""
 
-from asyncio import (
-    CancelledError,
-    Event,
-    create_task,
-    gather,
-    open_connection,
-    sleep,
-    start_server,
-    timeout,
-)
+from asyncio import CancelledError, Event, create_task, gather, sleep, timeout
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 from os import environ
@@ -36,6 +27,7 @@
 from plantaincart_router.exception import ExchangeError
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpRequest, find_header
+from plantaincart_testing.streams import open_connection, start_server
 
 DATA_CENTRES = ("a", "b", "c")
 WORK_S = 0.01
--- a/packages/router/plantaincart_router/direct/tests/test_account_quotas.py
+++ b/packages/router/plantaincart_router/direct/tests/test_account_quotas.py
@@ -1,6 +1,6 @@
 """Quotas of accounts over five real instances, as counted by an upstream."""
 
-from asyncio import create_task, gather, get_running_loop, sleep, start_server
+from asyncio import create_task, gather, get_running_loop, sleep
 from collections import Counter
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
@@ -33,6 +33,7 @@
     CoordinatorNotice,
     MemberReport,
 )
+from plantaincart_testing.streams import start_server
 
 NAMES = ("r1", "r2", "r3", "r4", "r5")
 BOUNDS = QuotaBounds()
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -1,6 +1,6 @@
 """Requests through the gateway to faulty upstreams on loopback."""
 
-from asyncio import create_task, gather, sleep, start_server
+from asyncio import create_task, gather, sleep
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from socket import SO_LINGER, SOL_SOCKET
@@ -25,6 +25,7 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.http.caller import CallerConnection
 from plantaincart_router.http.message import HttpRequest, find_header
+from plantaincart_testing.streams import start_server
 
 
 class Upstream:
--- a/packages/router/plantaincart_router/direct/tests/test_large_answers.py
+++ b/packages/router/plantaincart_router/direct/tests/test_large_answers.py
@@ -5,7 +5,6 @@
     create_task,
     gather,
     get_running_loop,
-    open_connection,
     sleep,
     wait_for,
 )
@@ -32,6 +31,7 @@
 from plantaincart_router.http.heldbytes import HeldKind
 from plantaincart_router.http.pacing import BulkPacer
 from plantaincart_router.http.server import HttpServer
+from plantaincart_testing.streams import open_connection
 
 DOWNLOAD = b"x" * 300_000
 SMALL_MACHINE = ResourceSettings(link_mbps=10.0, memory_mb=8.0)
--- a/packages/router/plantaincart_router/direct/tests/test_relayed_requests.py
+++ b/packages/router/plantaincart_router/direct/tests/test_relayed_requests.py
@@ -1,6 +1,6 @@
 """Requests at an instance that is cut from all upstreams, on loopback."""
 
-from asyncio import CancelledError, create_task, gather, sleep, start_server
+from asyncio import CancelledError, create_task, gather, sleep
 from contextlib import suppress
 from time import monotonic
 
@@ -10,6 +10,7 @@
 from plantaincart_router.direct.tests.memorysystem import find_port, wait_for
 from plantaincart_router.exception import ExchangeError
 from plantaincart_router.http.message import find_header
+from plantaincart_testing.streams import start_server
 
 # Rule for operators: from this time after the begin of a cut, first attempts at the
 # instances that are cut are served at least `MIN_SHARE` times as often as at others,
--- a/packages/router/plantaincart_router/tests/test_http_client.py
+++ b/packages/router/plantaincart_router/tests/test_http_client.py
@@ -8,7 +8,6 @@
     get_running_loop,
     new_event_loop,
     sleep,
-    start_server,
 )
 from collections.abc import AsyncIterator, Awaitable, Callable
 from socket import create_server
@@ -24,6 +23,7 @@
 )
 from plantaincart_router.http.client import HttpClient, HttpConnection
 from plantaincart_router.http.message import HttpAnswer, HttpRequest
+from plantaincart_testing.streams import start_server
 from uvloop import new_event_loop as new_uvloop
 
 HOST = "127.0.0.1"
--- a/packages/router/plantaincart_router/tests/test_http_flood.py
+++ b/packages/router/plantaincart_router/tests/test_http_flood.py
@@ -1,14 +1,6 @@
 """Servers that send bytes without end, over loopback."""
 
-from asyncio import (
-    Event,
-    StreamReader,
-    StreamWriter,
-    create_task,
-    gather,
-    sleep,
-    start_server,
-)
+from asyncio import Event, StreamReader, StreamWriter, create_task, gather, sleep
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from time import monotonic
@@ -18,6 +10,7 @@
 from plantaincart_router.http.client import HttpClient
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpRequest
+from plantaincart_testing.streams import start_server
 
 HOST = "127.0.0.1"
 GET = HttpRequest("GET", "/a")
--- a/packages/router/plantaincart_router/tests/test_http_fuzz.py
+++ b/packages/router/plantaincart_router/tests/test_http_fuzz.py
@@ -1,6 +1,6 @@
 """Fuzz tests: arbitrary bytes from callers and upstreams."""
 
-from asyncio import Runner, StreamReader, StreamWriter, open_connection, start_server
+from asyncio import Runner, StreamReader, StreamWriter
 from contextlib import suppress
 
 from hypothesis import example, given, settings
@@ -23,6 +23,7 @@
     Service,
 )
 from plantaincart_schema.generated.settings import EntrySettings
+from plantaincart_testing.streams import open_connection, start_server
 
 HOST = "127.0.0.1"
 LIMITS = EntrySettings(
--- a/packages/router/plantaincart_router/tests/test_http_large.py
+++ b/packages/router/plantaincart_router/tests/test_http_large.py
@@ -9,9 +9,7 @@
     create_task,
     gather,
     get_running_loop,
-    open_connection,
     sleep,
-    start_server,
     wait_for,
 )
 from collections.abc import AsyncIterator, Callable
@@ -29,6 +27,7 @@
 from plantaincart_router.http.pacing import BulkPacer
 from plantaincart_router.http.server import HttpServer
 from plantaincart_schema.generated.settings import EntrySettings
+from plantaincart_testing.streams import open_connection, start_server
 
 HOST = "127.0.0.1"
 LINK_MBPS = 10.0
--- a/packages/router/plantaincart_router/tests/test_http_server.py
+++ b/packages/router/plantaincart_router/tests/test_http_server.py
@@ -1,12 +1,4 @@
-from asyncio import (
-    Event,
-    Runner,
-    StreamReader,
-    StreamWriter,
-    create_task,
-    open_connection,
-    wait_for,
-)
+from asyncio import Event, Runner, StreamReader, StreamWriter, create_task, wait_for
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import replace
 from socket import create_connection
@@ -19,6 +11,7 @@
 from plantaincart_schema.codec import decode_json
 from plantaincart_schema.generated.settings import EntrySettings
 from plantaincart_schema.generated.upstream import Problem
+from plantaincart_testing.streams import open_connection
 from uvloop import new_event_loop
 
 HOST = "127.0.0.1"
--- a/packages/router/plantaincart_router/tests/test_http_timeouts.py
+++ b/packages/router/plantaincart_router/tests/test_http_timeouts.py
@@ -8,7 +8,6 @@
     create_task,
     new_event_loop,
     sleep,
-    start_server,
 )
 from collections.abc import Callable
 from socket import (
@@ -22,6 +21,7 @@
 import pytest
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import HttpRequest
+from plantaincart_testing.streams import start_server
 from uvloop import new_event_loop as new_uvloop
 
 HOST = "127.0.0.1"
