Divide the view: key demand, draining and closures are modules of their own

Result: 624 tests of the direct path and the adapter passed; the one that failed is known red, and test_restored_store.py, whose import is changed, was run after it.

--- a/packages/router/plantaincart_router/direct/candidates.py
+++ b/packages/router/plantaincart_router/direct/candidates.py
@@ -193,7 +193,7 @@
         parked_at, is_parked = monotonic(), False
         parked_until = parked_at + self._settings.send.park_s
         work_s = self._costs.estimate_work(call)
-        self._view.record_key_load(call.service.name, key, work_s)
+        self._view.key_demand.record_load(call.service.name, key, work_s)
         while True:
             key_range = self._view.find_owner(call.service.name, key)
             record = self._view.directory.get(key_range.owner) if key_range else None
@@ -201,7 +201,7 @@
                 key_range is not None
                 and record is not None
                 and record.born == key_range.born
-                and self._view.can_serve_keys(record)
+                and self._view.draining.can_serve_keys(record)
             ):
                 self._view.unowned.record_served(call.service.name, key_range.first)
                 self._metrics.observe(
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -458,8 +458,8 @@
             map_version=view.map_version,
             store_silent_s=self._probe.measure_silence(),
             leaving=self._leaving,
-            loads=view.pop_key_loads(),
-            refusing=view.pop_refused_keys(),
+            loads=view.key_demand.pop_loads(),
+            refusing=view.key_demand.pop_refused(),
             tables={
                 feed.table: feed.version
                 for feed in self.feeds
--- a/packages/router/plantaincart_router/direct/permitwait.py
+++ b/packages/router/plantaincart_router/direct/permitwait.py
@@ -65,7 +65,7 @@
         key_range = view.find_owner(call.service.name, call.metadata.key)
         owner = (record.id, record.born)
         is_owner = key_range is not None and (key_range.owner, key_range.born) == owner
-        return is_owner and view.can_serve_keys(record)
+        return is_owner and view.draining.can_serve_keys(record)
 
     def _choose_patience_s(self, call: Call, record: UpstreamRecord) -> float:
         """Choose for how long a request may wait for a permit."""
--- a/packages/router/plantaincart_router/direct/relayserver.py
+++ b/packages/router/plantaincart_router/direct/relayserver.py
@@ -139,7 +139,7 @@
         services = view.routing_config.services if view.routing_config else {}
         policy = services.get(record.service)
         if policy is not None and policy.keyed:
-            may_send = view.can_serve_keys(record)
+            may_send = view.draining.can_serve_keys(record)
         else:
             may_send = view.directory.accepts_requests(record)
         if view.backoffs.remaining_s(record, monotonic()) > 0.0:
--- a/packages/router/plantaincart_router/direct/selector.py
+++ b/packages/router/plantaincart_router/direct/selector.py
@@ -219,7 +219,7 @@
         key_range = view.find_owner(call.service.name, key)
         owner = (record.id, record.born)
         is_owner = key_range is not None and (key_range.owner, key_range.born) == owner
-        return is_owner and view.can_serve_keys(record)
+        return is_owner and view.draining.can_serve_keys(record)
 
     async def _find_candidates(
         self, call: Call
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -177,7 +177,7 @@
         if metadata.misdirected and call.service.keyed and key is not None:
             key_range = self._view.find_owner(call.service.name, key)
             if key_range is not None:
-                self._view.record_refused_key(
+                self._view.key_demand.record_refused(
                     call.service.name, key, record.id, key_range.fence
                 )
         at_capacity = (
--- a/packages/router/plantaincart_router/direct/tests/test_backoff.py
+++ b/packages/router/plantaincart_router/direct/tests/test_backoff.py
@@ -130,7 +130,7 @@
     def ask():
         for instance in system.instances.values():
             for key in SAMPLE_KEYS:
-                instance.view.record_key_load("ledger", key, 0.01)
+                instance.view.key_demand.record_load("ledger", key, 0.01)
         return until()
 
     await wait_for(ask, limit_s)
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -313,7 +313,7 @@
     while True:
         for instance in system.instances.values():
             for key in SAMPLE_KEYS:
-                instance.view.record_key_load("ledger", key, 0.01)
+                instance.view.key_demand.record_load("ledger", key, 0.01)
         await sleep(0.05)
 
 
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -460,7 +460,7 @@
         reads = [("operator", closures), ("upstreams", upstreams)]
         for table, rows in reads if closed_first else reversed(reads):
             view.replace_table(table, rows, float("-inf"))
-        assert not view.can_serve_keys(view.directory.get("u0"))
+        assert not view.draining.can_serve_keys(view.directory.get("u0"))
 
 
 @pytest.mark.parametrize(("unnoticed_s", "may_finish"), [(0.5, True), (4.0, False)])
@@ -477,7 +477,7 @@
     view.change_table("operator", changes, monotonic() - unnoticed_s)
     record = view.directory.get("u0")
     assert not view.directory.accepts_requests(record)
-    assert view.can_serve_keys(record) is may_finish
+    assert view.draining.can_serve_keys(record) is may_finish
 
 
 async def test_draining_upstream_gets_no_requests_without_keys():
--- a/packages/router/plantaincart_router/direct/tests/test_quota.py
+++ b/packages/router/plantaincart_router/direct/tests/test_quota.py
@@ -373,7 +373,7 @@
             for instance in system.instances.values():
                 hear(instance.view.quotas, 0.5, monotonic())
                 for key in SAMPLE_KEYS:
-                    instance.view.record_key_load("ledger", key, 0.05)
+                    instance.view.key_demand.record_load("ledger", key, 0.05)
             return sum(system.upstreams["u1"].owns(key) for key in owned)
 
         await wait_for(lambda: count_owned() <= len(owned) // 2, 6.0)
--- a/packages/router/plantaincart_router/direct/tests/test_restored_store.py
+++ b/packages/router/plantaincart_router/direct/tests/test_restored_store.py
@@ -13,6 +13,7 @@
 from plantaincart_core.era import is_epoch_of_era, next_epoch
 from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEY_COUNT
+from plantaincart_router.direct.closures import CLOSURE_REWRITE_S
 from plantaincart_router.direct.ownershiprow import decode_ownership, encode_ownership
 from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.pool import UpstreamPools
@@ -37,7 +38,7 @@
     run_system,
     wait_for,
 )
-from plantaincart_router.direct.view import CLOSURE_REWRITE_S, SystemView
+from plantaincart_router.direct.view import SystemView
 from plantaincart_schema.codec import encode_json
 from plantaincart_schema.generated.direct import CoordinatorRow, OwnershipRow
 from pytest import mark
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -263,7 +263,7 @@
 
 def check_drain_bound(view: SystemView, record: UpstreamRecord) -> None:
     """Raise NotRunError if an upstream may get no more requests, since it leaves."""
-    if not view.is_within_drain_bound(record):
+    if not view.draining.is_within_stated_bound(record):
         raise NotRunError(f"upstream {record.id} has left", False, False)
 
 
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -15,17 +15,18 @@
 from plantaincart_core.upstreamspeed import UpstreamSpeeds
 from plantaincart_schema.generated.direct import (
     CoordinatorNotice,
-    KeyLoad,
     MapChange,
-    RefusedKey,
 )
 
 from plantaincart_router.direct.accountfact import AccountFact
 from plantaincart_router.direct.backoff import UpstreamBackoffs
+from plantaincart_router.direct.closures import DataCentreClosures
 from plantaincart_router.direct.crashfact import CrashFact
 from plantaincart_router.direct.crashledger import CrashLedger
+from plantaincart_router.direct.draining import DrainWatch
 from plantaincart_router.direct.feed import TableSink
 from plantaincart_router.direct.interface import PlatformReader
+from plantaincart_router.direct.keydemand import KeyDemand
 from plantaincart_router.direct.limitfact import LimitFact
 from plantaincart_router.direct.loadfact import LoadFact
 from plantaincart_router.direct.pacefact import PaceFact
@@ -47,16 +48,6 @@
 
 __all__ = ["SystemView"]
 
-# Maximum number of keys in a report. Requests for further keys aren't counted until the
-# next report.
-MAX_REPORTED_KEYS = 512
-# Fraction of the drain bound for which a draining owner still gets requests. The bound
-# starts when the store acknowledges the change, which is later than the time up to
-# which the table was known.
-DRAIN_BOUND_SHARE = 0.7
-# Seconds after a restoration of the store within which operators have written closed
-# data centres again. Until then the closures known before stay in force.
-CLOSURE_REWRITE_S = 10.0
 # Seconds for which a lower number of instances is ignored.
 MEMBER_COUNT_MEMORY_S = 5.0
 # Seconds for which the coordinator is told of an upstream that leaves. It covers a
@@ -87,6 +78,10 @@
         Lasting speed of upstreams, and the slowdown of the moment.
     paces : PaceTable
         Limits of upstreams that have just started or fail.
+    key_demand : KeyDemand
+        What requests ask of keys.
+    draining : DrainWatch
+        For how long upstreams that leave may still get requests.
     quotas : UpstreamQuotas
         Limits that upstreams have named.
     room : SharedRoom
@@ -111,17 +106,13 @@
         self._settings = settings
         self._reader = reader
         self._pools = pools
-        self._closed_by_row: dict[str, str] = {}
-        self._unconfirmed_closures: dict[str, tuple[str, float]] = {}
         self._eras: dict[str, int] = {}
-        self._draining_since: dict[str, float] = {}
-        self._seen_active: set[str] = set()
         self._operator_rows_loaded = False
-        self._key_loads: dict[str, dict[int, float]] = {}
-        self._refused_keys: list[RefusedKey] = []
         self.routing_config: RoutingConfiguration | None = None
         self.routes: RouteIndex | None = None
         self.directory = UpstreamDirectory()
+        self._closures = DataCentreClosures(self.directory)
+        self.draining = DrainWatch(self.directory, settings.bounds)
         self.reachability = pools.reachability
         self.reachability.directory = self.directory
         self.upstreams_loaded = False
@@ -137,6 +128,7 @@
         self.speeds = UpstreamSpeeds()
         pace_settings = PaceSettings()
         self.paces = PaceTable(pace_settings)
+        self.key_demand = KeyDemand()
         self.backoffs = UpstreamBackoffs()
         self.crashes = CrashLedger()
         self.quotas = UpstreamQuotas(self.directory)
@@ -195,10 +187,10 @@
             kept = self._replace_upstreams(view, known_until, is_restored)
         else:
             if is_restored:
-                self._doubt_closures()
-            self._closed_by_row.clear()
+                self._closures.doubt(monotonic())
+            self._closures.clear()
             self.change_table(table, view, known_until)
-            kept = sorted(self._unconfirmed_closures)
+            kept = self._closures.list_unconfirmed()
         if is_restored:
             write_event(
                 "table_restored",
@@ -242,15 +234,7 @@
         now = monotonic()
         for record in self.directory.expire(now):
             self._handle_upstream_gone(record)
-        expired = [
-            key
-            for key, (_, until) in self._unconfirmed_closures.items()
-            if until <= now
-        ]
-        for key in expired:
-            del self._unconfirmed_closures[key]
-        if expired:
-            self._update_closures()
+        if self._closures.expire(now):
             self._wake_waiters()
 
     def apply_notice(self, notice: CoordinatorNotice) -> bool:
@@ -311,23 +295,6 @@
             self._handle_upstream_gone(record)
             self._wake_waiters()
 
-    def can_serve_keys(self, record: UpstreamRecord) -> bool:
-        """Whether an owner may still get requests for its keys."""
-        if not self.is_within_drain_bound(record):
-            return False
-        if self.directory.is_in_service(record):
-            return True
-        bounds = self._settings.bounds
-        bound_s = bounds.evacuate_s if record.ready else bounds.drain_s
-        since = self._draining_since.get(record.id, float("-inf"))
-        return monotonic() - since < bound_s * DRAIN_BOUND_SHARE
-
-    def is_within_drain_bound(self, record: UpstreamRecord) -> bool:
-        """Whether an upstream may get requests by what its answers have said."""
-        since = self.directory.leaving.find_since(record.id, record.born)
-        bound_s = self._settings.bounds.drain_s * DRAIN_BOUND_SHARE
-        return since is None or monotonic() - since < bound_s
-
     def record_leaving(self, upstream: str, born: int) -> None:
         """
         Record that an upstream said in an answer that it leaves.
@@ -351,37 +318,6 @@
         """Wait until the map or the upstreams change."""
         await self._changed.wait()
 
-    def record_key_load(self, service: str, key: int, work_s: float) -> None:
-        """Add requested work to the load of a key."""
-        loads = self._key_loads.setdefault(service, {})
-        if key in loads or len(loads) < MAX_REPORTED_KEYS:
-            loads[key] = loads.get(key, 0.0) + work_s
-
-    def record_refused_key(
-        self, service: str, key: int, owner: str, fence: int
-    ) -> None:
-        """Record that the owner of a key answered that it doesn't own it."""
-        self._refused_keys.append(
-            RefusedKey(service=service, key=key, owner=owner, fence=fence)
-        )
-
-    def pop_key_loads(self) -> list[KeyLoad]:
-        """Return the requested work since the last call, by key."""
-        key_loads, self._key_loads = self._key_loads, {}
-        return [
-            KeyLoad(
-                service=service,
-                keys=list(loads),
-                work_ms=[round(work * 1000.0) for work in loads.values()],
-            )
-            for service, loads in key_loads.items()
-        ]
-
-    def pop_refused_keys(self) -> list[RefusedKey]:
-        """Return the keys that their owners refused since the last call."""
-        refused_keys, self._refused_keys = self._refused_keys, []
-        return refused_keys
-
     def _replace_upstreams(
         self, view: TableRows, known_until: float, is_restored: bool
     ) -> list[str]:
@@ -399,11 +335,6 @@
         read = {record.id: record for record in valid_records}
         return [record.id for record in self.directory if read.get(record.id) != record]
 
-    def _doubt_closures(self) -> None:
-        until = monotonic() + CLOSURE_REWRITE_S
-        for key, data_centre in self._closed_by_row.items():
-            self._unconfirmed_closures.setdefault(key, (data_centre, until))
-
     def _change_upstreams(self, view: TableRows, known_until: float) -> None:
         previous = {record.id: record for record in self.directory}
         now = monotonic()
@@ -419,18 +350,8 @@
     def _update_draining(
         self, previous: dict[str, UpstreamRecord], known_until: float
     ) -> None:
-        """Record upstreams that started draining, at the earliest at `known_until`."""
-        for record in self.directory:
-            if self.directory.is_in_service(record):
-                self._draining_since.pop(record.id, None)
-                if self._operator_rows_loaded:
-                    self._seen_active.add(record.id)
-            else:
-                # An upstream that was never active here may have been draining for
-                # long.
-                was_active = record.id in self._seen_active
-                since = known_until if was_active else float("-inf")
-                self._draining_since.setdefault(record.id, since)
+        """Record upstreams that drain or are gone, at the earliest at `known_until`."""
+        self.draining.update(known_until, self._operator_rows_loaded)
         for record in previous.values():
             present = self.directory.get(record.id)
             if present is None or present.born != record.born:
@@ -443,8 +364,7 @@
         for fact in self.facts:
             fact.forget_upstream(record, now)
         if self.directory.get(record.id) is None:
-            self._draining_since.pop(record.id, None)
-            self._seen_active.discard(record.id)
+            self.draining.forget(record.id)
 
     def _log_upstream(self, old: UpstreamRecord | None, new: UpstreamRecord) -> None:
         is_cold = new.warmup_left_s > 0.0
@@ -465,30 +385,18 @@
 
     def _change_operator_rows(self, view: TableRows, known_until: float) -> None:
         for row in view.rows:
-            self._unconfirmed_closures.pop(row.key, None)
             if row.deleted:
-                self._closed_by_row.pop(row.key, None)
+                self._closures.remove(row.key)
                 continue
             data_centre = self._reader.read_closed_data_centre(row)
-            if data_centre is not None:
-                self._closed_by_row[row.key] = data_centre
-            else:
+            self._closures.put(row.key, data_centre)
+            if data_centre is None:
                 self._adopt_routing_config(self._reader.read_configuration(row))
-        changed = self._update_closures()
+        changed = self._closures.update_directory()
         if changed or not self._operator_rows_loaded:
             self._operator_rows_loaded = True
             self._update_draining({}, known_until)
 
-    def _update_closures(self) -> bool:
-        """Put the known closures in force; return whether they have changed."""
-        unconfirmed = {name for name, _ in self._unconfirmed_closures.values()}
-        closed = frozenset(self._closed_by_row.values()) | unconfirmed
-        changed = closed != self.directory.closed_data_centres
-        if changed:
-            write_event("data_centres_closed", names=sorted(closed))
-            self.directory.closed_data_centres = closed
-        return changed
-
     def _adopt_routing_config(
         self, routing_config: RoutingConfiguration | None
     ) -> None:
--- a/packages/router/plantaincart_router/direct/where/candidatetable.py
+++ b/packages/router/plantaincart_router/direct/where/candidatetable.py
@@ -215,7 +215,7 @@
     ) -> list[str]:
         view, now = self._view, monotonic()
         if call.service.keyed:
-            accepts = view.can_serve_keys(record)
+            accepts = view.draining.can_serve_keys(record)
         else:
             accepts = view.directory.accepts_requests(record)
         conditions = (
--- a/packages/router/plantaincart_router/direct/where/snapshot.py
+++ b/packages/router/plantaincart_router/direct/where/snapshot.py
@@ -2,6 +2,7 @@
 
 from copy import deepcopy
 
+from plantaincart_router.direct.keydemand import KeyDemand
 from plantaincart_router.direct.view import SystemView
 
 __all__ = ["ViewSnapshot"]
@@ -24,8 +25,7 @@
 
     def __init__(self, view: SystemView) -> None:
         vars(self).update(vars(view))
-        self._key_loads = {}
-        self._refused_keys = []
+        self.key_demand = KeyDemand()
         self.unowned = deepcopy(view.unowned)
         self.loads = view.loads.copy()
         self.room = view.room.copy(self.loads)
