--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -7,7 +7,6 @@
 from typing import Any
 from uuid import uuid4
 
-from plantaincart_core.era import may_claim_term, next_epoch
 from plantaincart_schema.codec import decode_msgpack, encode_changed
 from plantaincart_schema.exception import MalformedMessageError
 from plantaincart_schema.generated.direct import (
@@ -35,20 +34,8 @@
 )
 from plantaincart_router.direct.probe import StoreProbe
 from plantaincart_router.direct.settings import DirectSettings
-from plantaincart_router.direct.store import (
-    StoreConflictError,
-    StoreRow,
-    StoreUnavailableError,
-    TableRows,
-)
-from plantaincart_router.direct.termrow import (
-    COORDINATOR_TABLE,
-    find_term,
-    is_era_claimed,
-    list_later_eras,
-    make_era_rows,
-    make_term_row,
-)
+from plantaincart_router.direct.store import StoreUnavailableError
+from plantaincart_router.direct.termwatch import TermWatch
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 from plantaincart_router.socket import LoopSocket
@@ -109,13 +96,7 @@
         self._notice_socket: LoopSocket | None = None
         self._inquired_at = float("-inf")
         self._peer_identities: dict[str, bytes] = {}
-        self._row: CoordinatorRow | None = None
-        self._row_version = 0
-        self._era = 0
-        self._era_claimed = True
-        self._era_rows: list[StoreRow] = []
-        self._row_changed_at = monotonic()
-        self._row_read_at = 0.0
+        self._term = TermWatch(self._times, platform.store)
         self._row_read_failed = False
         self._last_notice_at = 0.0
         self._connected_at = 0.0
@@ -193,7 +174,7 @@
             if self.coordinator.is_cut_off:
                 self._cut_off_until = monotonic() + CUT_OFF_MEMORY_S
             self.coordinator = None
-            self._row = None
+            self._term.row = None
             self._coordinator_resigned = False
         self._report()
         if self._lacks_coordinator and not self._leaving:
@@ -204,23 +185,17 @@
         return monotonic() - since > self._times.silent_s
 
     async def _find_or_replace_coordinator(self) -> None:
-        now = monotonic()
-        if now - self._row_read_at < self._choose_row_read_interval_s():
+        if monotonic() - self._term.read_at < self._choose_row_read_interval_s():
             return
         await self._read_row()
-        row = self._row
-        if may_claim_term(
-            has_ended=row is None or self._is_claimable(row),
-            is_era_claimed=self._era_claimed,
-            unchanged_s=monotonic() - self._row_changed_at,
-            required_s=self._times.unchanged_s,
-        ):
+        row = self._term.row
+        if self._term.may_claim(row is None or self._is_claimable(row)):
             await self._claim()
 
     def _choose_row_read_interval_s(self) -> float:
         """Choose by the resources, since the strongest instances claim the term."""
         times, shortage = self._times, self._settings.resources.shortage
-        if self._row is None or self._coordinator_resigned:
+        if self._term.row is None or self._coordinator_resigned:
             # The next term is claimed at once.
             return shortage * times.weak_candidate_s
         extra_s = shortage * times.weak_row_read_s * self._view.members
@@ -229,44 +204,22 @@
     async def _read_row(self) -> None:
         timer = self._loop.call_later(INQUIRY_DELAY_S, self._inquire)
         try:
-            view = await self._platform.store.read(COORDINATOR_TABLE)
+            row = await self._term.read()
         finally:
             timer.cancel()
-        now = monotonic()
         if self._row_read_failed:
             # Calls that were sent during the outage may never be answered.
             self._row_read_failed = False
             for feed in self.feeds:
                 feed.poll_now()
-        gap_s = now - self._row_read_at
-        self._row_read_at = now
-        self._probe.record_answer(now)
-        is_same_era = view.era == self._era
-        self._record_era(view)
-        current = find_term(view)
-        row, version = current or (None, 0)
-        if is_same_era and row is not None and row.epoch < self._get_known_epoch():
-            # The answer is older than what other instances have told.
-            return
-        if version != self._row_version or gap_s > self._times.unchanged_s * 2:
-            self._row_changed_at = now
-        if row is None:
-            self._row, self._row_version = None, 0
-            return
-        old, self._row, self._row_version = self._row, row, version
-        if row.vacant:
-            return
-        if old is None or (old.holder, old.epoch) != (row.holder, row.epoch):
+        self._probe.record_answer(self._term.read_at)
+        if row is not None:
             self._connect(row)
 
-    def _get_known_epoch(self) -> int:
-        """Return the latest epoch of which this instance knows the holder."""
-        return 0 if self._row is None else self._row.epoch
-
     @property
     def _lacks_coordinator(self) -> bool:
         return self.coordinator is None and (
-            self._row is None
+            self._term.row is None
             or self._coordinator_resigned
             or self._is_coordinator_silent()
         )
@@ -285,7 +238,7 @@
             member=self._settings.name,
             incarnation=self._incarnation,
             address=self._peer_address(self._settings),
-            epoch=max(self._view.epoch, self._get_known_epoch()),
+            epoch=max(self._view.epoch, self._term.known_epoch),
             map_version=0,
             store_silent_s=-1.0,
             inquires=True,
@@ -300,20 +253,18 @@
                 term = make_term(self._settings.name, address, self.coordinator.epoch)
         elif self._last_notice_at > self._connected_at and not self._lacks_coordinator:
             # Its notices have come lately.
-            term = self._row
+            term = self._term.row
         if term is not None and term.epoch > report.epoch and self._report_socket:
             self._report_socket.send([identity, *answer_inquiry(term)])
 
     def _adopt_answer(self, term: CoordinatorRow) -> None:
         """Follow a coordinator that another instance has named."""
-        known_epoch = max(self._view.epoch, self._get_known_epoch())
+        known_epoch = max(self._view.epoch, self._term.known_epoch)
         is_own = term.holder == self._settings.name
         if not self._lacks_coordinator or is_own or term.epoch <= known_epoch:
             return
         write_event("coordinator_told", holder=term.holder, epoch=term.epoch)
-        # The version of the row isn't known, so a claim of this instance fails until it
-        # has read the row.
-        self._row, self._row_changed_at = term, monotonic()
+        self._term.adopt(term)
         self._inquiry.close()
         self._connect(term)
 
@@ -321,40 +272,17 @@
     def _peer_address(settings: DirectSettings) -> str:
         return f"{settings.host}:{settings.peer_port}"
 
-    def _record_era(self, view: TableRows) -> None:
-        if view.era > self._era:
-            write_event("store_restored", previous=self._era, era=view.era)
-            self._era = view.era
-            self._row_changed_at = self._row_read_at
-        self._era_claimed = is_era_claimed(view)
-        self._era_rows = make_era_rows(view)
-
     async def _claim(self) -> None:
         await sleep(self._random.random() * self._times.candidate_s)
         if not await self._wait_for_better_candidates():
             return
-        old = self._row
-        epoch = next_epoch(self._era, self._view.epoch, old.epoch if old else 0)
-        row = CoordinatorRow(
-            holder=self._settings.name,
-            address=self._peer_address(self._settings),
-            epoch=epoch,
-            beat=0,
-            vacant=False,
-        )
-        stored = make_term_row(row, self._row_version)
         claimed_at = read_boot_time()
-        try:
-            version = await self._platform.store.write(
-                COORDINATOR_TABLE,
-                stored,
-                self._era_rows,
-                list_later_eras(self._era),
-            )
-        except StoreConflictError:
-            self._row_read_at = 0.0
+        row = await self._term.claim(
+            self._settings.name, self._peer_address(self._settings), self._view.epoch
+        )
+        if row is None:
             return
-        self._row, self._row_version, self._coordinator_resigned = row, version, False
+        self._coordinator_resigned = False
         self._disconnect()
         self.coordinator = Coordinator(
             self._settings,
@@ -362,13 +290,13 @@
             self._platform.store,
             self._platform.grants,
             row,
-            version,
-            self._era,
+            self._term.version,
+            self._term.era,
             claimed_at,
             self._notify,
             self.feeds,
             # In an outage the coordinator acts although its row doesn't change.
-            previous_renewed_at=max(self._row_changed_at, self._outage_notice_at),
+            previous_renewed_at=max(self._term.changed_at, self._outage_notice_at),
             previous_grant_duration_s=self._estimate_previous_grant_duration_s(),
         )
         self.coordinator.start()
@@ -386,14 +314,14 @@
         reluctance = self._settings.resources.shortage
         if self._is_cut_off():
             reluctance += CUT_OFF_RELUCTANCE
-        seen_version = self._row_version
+        seen_version = self._term.version
         remaining_s = reluctance * self._times.weak_candidate_s
-        while remaining_s > 0.0 and self._row_version == seen_version:
+        while remaining_s > 0.0 and self._term.version == seen_version:
             delay_s = min(remaining_s, self._times.weak_candidate_s)
             remaining_s -= delay_s
             await sleep(delay_s)
             await self._read_row()
-        return self._row_version == seen_version and not self._leaving
+        return self._term.version == seen_version and not self._leaving
 
     def _is_cut_off(self) -> bool:
         """Whether this instance reaches no upstream."""
@@ -528,14 +456,14 @@
         except MalformedMessageError as error:
             write_event("notice_unreadable", error=str(error))
             return
-        if self._row is None or notice.epoch < self._row.epoch:
+        if self._term.row is None or notice.epoch < self._term.known_epoch:
             return
         if notice.doubt:
             self._outage_notice_at = monotonic()
         if notice.resigned:
             self._coordinator_resigned = True
             self._resigned_epoch = notice.epoch
-            self._row_read_at = monotonic()
+            self._term.read_at = monotonic()
             return
         self._last_notice_at = monotonic()
         self._handle_store_doubt(notice.doubt)
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -59,7 +59,7 @@
     strong = system.add("r2", loop).follower
     try:
         await wait_for(lambda: system.find_coordinator() is not None)
-        await wait_for(lambda: weak._row is not None and strong._row is not None)
+        await wait_for(lambda: weak._term.row and strong._term.row)
         weak._view.members = strong._view.members = 195
         assert strong._choose_row_read_interval_s() == FAST.row_read_s
         assert weak._choose_row_read_interval_s() >= 3 * FAST.row_read_s
--- a/packages/router/plantaincart_router/direct/tests/test_inquiry.py
+++ b/packages/router/plantaincart_router/direct/tests/test_inquiry.py
@@ -178,7 +178,7 @@
         system.store.refused_clients = set(NAMES)
         system.kill(coordinator.settings.name)
         await sleep(TAKEOVER_S)
-        assert all(instance.follower._row.epoch == epoch for instance in others)
+        assert all(instance.follower._term.row.epoch == epoch for instance in others)
         assert system.find_coordinator() is None
         system.store.refused_clients = set()
         await wait_for(
@@ -202,11 +202,11 @@
     async with run_system(get_running_loop(), NAMES) as system:
         _, others = list_others(system)
         follower = others[0].follower
-        row = follower._row
+        row = follower._term.row
         silent = make_term("r9", "127.0.0.1:9", row.epoch + step)
         follower._last_notice_at = follower._connected_at = 0.0
         follower._inquiry._receive(answer_inquiry(silent))
-        assert follower._row == row
+        assert follower._term.row == row
 
 
 async def test_answer_is_ignored_while_the_coordinator_is_heard():
@@ -214,12 +214,12 @@
     async with run_system(get_running_loop(), NAMES) as system:
         _, others = list_others(system)
         follower = others[0].follower
-        row = follower._row
+        row = follower._term.row
         later = make_term("r9", "127.0.0.1:9", row.epoch + 1)
         follower._inquiry._receive(answer_inquiry(later))
-        assert follower._row == row
+        assert follower._term.row == row
         follower._inquiry._receive(pack_notice(make_notice(epoch=row.epoch + 1)))
-        assert follower._row == row
+        assert follower._term.row == row
 
 
 async def test_answer_of_the_store_from_before_replaces_no_later_term():
@@ -227,16 +227,16 @@
     async with run_system(get_running_loop(), NAMES) as system:
         _, others = list_others(system)
         follower = others[0].follower
-        earlier = follower._row
+        earlier = follower._term.row
         follower._last_notice_at = follower._connected_at = 0.0
         address = follower._peer_address(others[1].settings)
         later = make_term(others[1].settings.name, address, earlier.epoch + 1)
         follower._adopt_answer(later)
-        assert follower._row == later
+        assert follower._term.row == later
         stored = make_term_row(earlier, 0)
         system.store.put(COORDINATOR_TABLE, stored.key, stored.value)
         await follower._read_row()
-        assert follower._row == later
+        assert follower._term.row == later
 
 
 def test_addresses_out_of_range_are_refused():
