--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -59,7 +59,7 @@
     strong = system.add("r2", loop).follower
     try:
         await wait_for(lambda: system.find_coordinator() is not None)
-        await wait_for(lambda: weak._row is not None and strong._row is not None)
+        await wait_for(lambda: weak._term.row and strong._term.row)
         weak._view.members = strong._view.members = 195
         assert strong._choose_row_read_interval_s() == FAST.row_read_s
         assert weak._choose_row_read_interval_s() >= 3 * FAST.row_read_s
@@ -313,7 +313,7 @@
     while True:
         for instance in system.instances.values():
             for key in SAMPLE_KEYS:
-                instance.view.record_key_load("ledger", key, 0.01)
+                instance.view.key_demand.record_load("ledger", key, 0.01)
         await sleep(0.05)
 
 
