Don't resign as cut off while upstreams answer the coordinator's calls

The decision looked only at connects of requests and of the probe, which fail while many upstreams are full or the process is short of processor time.

A coordinator counts as cut off by connects only if a process fails its own calls twice in a row, and if no call has been answered on a connection that was opened meanwhile. The log line names the seconds since a connection was opened (`connected_s`).

test_coordinator_cut_off.py: test_coordinator_whose_calls_are_answered_ keeps_the_role and test_coordinator_that_opens_connections_keeps_the_role failed before and pass.

--- a/packages/router/plantaincart_router/direct/cutoff.py
+++ b/packages/router/plantaincart_router/direct/cutoff.py
@@ -80,12 +80,20 @@
             await sleep(RETRY_INTERVAL_S)
 
     def _fails_to_connect(self, now: float) -> bool:
-        """Whether no connection can be opened; grants on kept ones may still arrive."""
-        if self._granter.outcomes.failed_upstreams >= MIN_FAILING_UPSTREAMS:
+        """
+        Whether no connection can be opened; grants on kept ones may still arrive.
+
+        Connects of requests also fail where many upstreams are full or the process is
+        short of processor time. While the coordinator's own calls open connections, or
+        none of them fails, it isn't cut off.
+        """
+        granter = self._granter
+        if granter.outcomes.failed_upstreams >= MIN_FAILING_UPSTREAMS:
             # Starts to try connections.
             self._reachability.record_lost()
-        if not self._reachability.is_cut_off:
+        if not self._reachability.is_cut_off or not granter.has_failing:
             self._connected_at = now
+        self._connected_at = max(self._connected_at, granter.connected_at)
         return now - self._connected_at >= self._times.cut_off_s
 
     def _may_resign(self, now: float) -> bool:
@@ -99,5 +107,6 @@
             epoch=self._term.epoch,
             failed_upstreams=outcomes.failed_upstreams,
             silent_s=round(outcomes.measure_silence(now), 2),
+            connected_s=round(now - self._connected_at, 2),
             successors=successors,
         )
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -106,6 +106,16 @@
         """Return the upstreams whose answers since the last call said they leave."""
         return self._calls.pop_leaving()
 
+    @property
+    def has_failing(self) -> bool:
+        """Whether the last two calls to any process failed."""
+        return any(count > 1 for count in self._failure_counts.values())
+
+    @property
+    def connected_at(self) -> float:
+        """Time in seconds at which an upstream last answered on a new connection."""
+        return self._calls.connected_at
+
     @property
     def is_cut_off(self) -> bool:
         """Whether no upstream has answered for `cut_off_s`, though many were called."""
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -186,12 +186,19 @@
     """
     Grants keys to upstreams, and releases them.
 
+    Attributes
+    ----------
+    connected_at : float
+        Time in seconds at which an upstream last answered on a new connection.
+
     Notes
     -----
     Both methods raise `ExchangeError` if no complete answer was received. The call may
     still take effect later.
     """
 
+    connected_at: float = float("-inf")
+
     @abstractmethod
     async def grant(
         self,
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -333,6 +333,8 @@
             raise ConnectFailedError("no connection kept")
         if target.displaced:
             raise UpstreamDisplacedError("421")
+        if self.instance not in target.connected:
+            self.connected_at = monotonic()
         target.connected.add(self.instance)
         self.calls.append(("grant", upstream.id, key_range, renewal))
         if target.find_highest_fence(key_range.first, key_range.last) > key_range.fence:
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator_cut_off.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator_cut_off.py
@@ -247,6 +247,30 @@
         assert await keeps_owners(system, CUT_S)
 
 
+async def test_coordinator_whose_calls_are_answered_keeps_the_role():
+    """Connects for requests fail while upstreams are full, or the process is slow."""
+    async with run_system(get_running_loop()) as system, watch_owners(system):
+        old, epoch = system.find_coordinator(), read_epoch(system)
+        report_cut_off(old)
+        assert await keeps_owners(system, CUT_S)
+        assert (system.find_coordinator(), read_epoch(system)) == (old, epoch)
+
+
+async def test_coordinator_that_opens_connections_keeps_the_role():
+    """One upstream is lost, and others answer calls on new connections."""
+    async with run_system(get_running_loop()) as system, watch_owners(system):
+        old, epoch = system.find_coordinator(), read_epoch(system)
+        await sleep(FAST.hold_s)
+        report_cut_off(old)
+        system.upstreams["u1"].reachable = False
+        grants = old.follower.coordinator._granter._calls
+        for _ in range(int(CUT_S / 0.1)):
+            # As after a grant to an upstream that has just joined.
+            grants.connected_at = monotonic()
+            await sleep(0.1)
+        assert (system.find_coordinator(), read_epoch(system)) == (old, epoch)
+
+
 async def test_upstreams_that_restart_in_a_cut_get_keys_after_it():
     """Failed calls to processes that are gone must not stop all moves for good."""
     async with (
--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Sequence
+from time import monotonic
 
 from plantaincart_router.exception import (
     AnswerLostError,
@@ -33,6 +34,11 @@
     buffers : AnswerBuffers, optional
         Limits of incomplete answers, if they are shared with other clients.
 
+    Attributes
+    ----------
+    opened_at : float
+        Time in seconds at which a connection was last opened.
+
     Notes
     -----
     A call that times out or loses a kept connection closes all idle connections. A
@@ -53,6 +59,7 @@
         self._timeout_s = timeout_s
         self._idle: list[HttpConnection] = []
         self._calls_in_progress = 0
+        self.opened_at = float("-inf")
 
     @property
     def is_busy(self) -> bool:
@@ -138,6 +145,8 @@
     async def _open(self, timeout_s: float, reuse_only: bool) -> HttpConnection:
         if reuse_only:
             raise ConnectFailedError(f"{self._host}:{self._port}: no connection kept")
-        return await HttpConnection.open(
+        connection = await HttpConnection.open(
             self._host, self._port, timeout_s, buffers=self._buffers
         )
+        self.opened_at = monotonic()
+        return connection
