Report demand of accounts early only once the last report is answered

Requests that wait for a token cause a report each 0.1 s, and where answers are late all accounts wait, so that the reports are most when the coordinator keeps up least.

A request that waits now causes a report only if the last one is answered; the regular ones go on.

--- a/packages/router/plantaincart_router/direct/accountgate.py
+++ b/packages/router/plantaincart_router/direct/accountgate.py
@@ -173,7 +173,9 @@
         changed, fact = self._changed, self._fact
         ask_in_s = fact.reported_at + fact.ask_after_s - read_boot_time()
         if ask_in_s <= 0.0:
-            self._view.quotas.on_wait()
+            # Reports on top of those that aren't answered yet delay all answers.
+            if fact.is_answered:
+                self._view.quotas.on_wait()
             ask_in_s = ANSWER_S
         try:
             async with timeout(ask_in_s):
