--- a/packages/router/plantaincart_router/direct/cutoff.py
+++ b/packages/router/plantaincart_router/direct/cutoff.py
@@ -85,16 +85,19 @@
 
         Connects of requests also fail where many upstreams are full or the process is
         short of processor time. While the coordinator's own calls open connections, or
-        none of them fails, it isn't cut off.
+        are all answered, it isn't cut off.
         """
         granter = self._granter
         if granter.outcomes.failed_upstreams >= MIN_FAILING_UPSTREAMS:
             # Starts to try connections.
             self._reachability.record_lost()
-        if not self._reachability.is_cut_off or not granter.has_failing:
+        if not self._reachability.is_cut_off:
             self._connected_at = now
         self._connected_at = max(self._connected_at, granter.connected_at)
-        return now - self._connected_at >= self._times.cut_off_s
+        is_over = now - self._connected_at >= self._times.cut_off_s
+        silence_s = granter.outcomes.measure_silence(now)
+        is_failing = granter.has_failing or silence_s >= self._times.cut_off_s
+        return is_over and is_failing
 
     def _may_resign(self, now: float) -> bool:
         is_young = now - self._started_at < self._times.hold_s
