Let the proxy find the source of a connection without reading all sockets

While faults of a single source lasted, the proxy read the kernel's table of all sockets for each new connection (4 ms on a quiet machine, 30 ms beside other tests), and stood still meanwhile. In runs of test_crashing_request [status-cut-off] beside other tests all its connections stood for seconds: the store timed out at instances that weren't cut, the coordinator's term ended ("no renewal confirmed for 2.0 s") and nobody followed until 6.2 s. So the tests cut everybody, which isn't what they say.

It asks the kernel for the one socket now (0.05 ms) and lists the open files of the instances. What a fault does to a connection is unchanged.

--- a/packages/testing/plantaincart_testing/pipe.py
+++ b/packages/testing/plantaincart_testing/pipe.py
@@ -11,10 +11,12 @@
     RouteFaults,
     RouteSettings,
 )
+from plantaincart_testing.source import Connection
 
 __all__ = ["Pipe", "PipeEnd", "PipeOwner"]
 
 CONNECT_TIMEOUT_S = 5.0
+NOT_CONNECTED: Connection = (("0.0.0.0", 0), ("0.0.0.0", 0))
 
 
 class PipeOwner(ABC):
@@ -79,12 +81,14 @@
         if self._pipe is not None:
             self._pipe.end(from_target=self._is_target, was_reset=exc is not None)
 
-    def read_peer_port(self) -> int:
-        """Return the TCP port of the process at the other side of this socket."""
+    def read_connection(self) -> Connection:
+        """Return the addresses of the other side of this socket, and of this one."""
         if self.transport is None:
-            return 0
-        port: int = self.transport.get_extra_info("peername")[1]
-        return port
+            return NOT_CONNECTED
+        peer, own = (
+            self.transport.get_extra_info(name) for name in ("peername", "sockname")
+        )
+        return (peer, own) if peer and own else NOT_CONNECTED
 
 
 class Pipe:
@@ -115,7 +119,7 @@
         self, owner: PipeOwner, source_end: PipeEnd, source: str, faults: RouteFaults
     ) -> None:
         self.source = source
-        self.source_port = source_end.read_peer_port()
+        self.source_connection = source_end.read_connection()
         self._owner = owner
         self._source_end = source_end
         self._target_end = PipeEnd(owner, self)
--- a/packages/testing/plantaincart_testing/proxy.py
+++ b/packages/testing/plantaincart_testing/proxy.py
@@ -31,7 +31,7 @@
     RouteSettings,
     SourceList,
 )
-from plantaincart_testing.source import SourceFinder
+from plantaincart_testing.source import Connection, SourceFinder
 
 __all__ = ["ProxyControlHandler", "Route", "main"]
 
@@ -50,8 +50,8 @@
         Settings of the route.
     finder : SourceFinder
         Finds the process that opened a connection. It is used only for reports
-        and while faults are set for single sources, since a search takes some
-        milliseconds.
+        and while faults are set for single sources, since a search takes up to a
+        millisecond.
     """
 
     def __init__(self, settings: RouteSettings, finder: SourceFinder) -> None:
@@ -88,9 +88,7 @@
             self._source_faults.pop(source, None)
         elif source:
             self._source_faults[source] = faults
-            self.set_source_names(
-                self._finder.find_names(self.list_unknown_source_ports())
-            )
+            self.set_source_names(self._finder.find_names(self.list_unknown_sources()))
         else:
             self._faults = faults
             self._source_faults = {}
@@ -127,8 +125,8 @@
         """Accept a new connection, or return None to refuse it."""
         source = ""
         if self._source_faults:
-            port = end.read_peer_port()
-            source = self._finder.find_names([port]).get(port, "")
+            connection = end.read_connection()
+            source = self._finder.find_names([connection]).get(connection, "")
         faults = self.find_faults(source)
         if faults.mode is PassMode.CUT:
             self._refused += 1
@@ -146,14 +144,14 @@
         """Remove a connection that has ended."""
         self._pipes.discard(pipe)
 
-    def list_unknown_source_ports(self) -> list[int]:
-        """Return the source ports of connections whose source is unknown."""
-        return [pipe.source_port for pipe in self._pipes if not pipe.source]
+    def list_unknown_sources(self) -> list[Connection]:
+        """Return the addresses of connections whose source is unknown."""
+        return [pipe.source_connection for pipe in self._pipes if not pipe.source]
 
-    def set_source_names(self, names: Mapping[int, str]) -> None:
-        """Set the sources of connections, given their names by source port."""
+    def set_source_names(self, names: Mapping[Connection, str]) -> None:
+        """Set the sources of connections, given their names."""
         for pipe in self._pipes:
-            pipe.source = pipe.source or names.get(pipe.source_port, "")
+            pipe.source = pipe.source or names.get(pipe.source_connection, "")
 
 
 class ProxyControlHandler(Handler):
@@ -191,8 +189,9 @@
 
     def _describe_all(self) -> list[RouteReport]:
         routes = self._routes.values()
-        ports = [port for route in routes for port in route.list_unknown_source_ports()]
-        names = self._finder.find_names(ports)
+        names = self._finder.find_names(
+            [source for route in routes for source in route.list_unknown_sources()]
+        )
         for route in routes:
             route.set_source_names(names)
         return [route.describe() for route in routes]
--- a/packages/testing/plantaincart_testing/tests/test_proxy.py
+++ b/packages/testing/plantaincart_testing/tests/test_proxy.py
@@ -86,7 +86,7 @@
     body = b"y" * 100_000
     assert await send(connection, body) == body
     proxy.route.set_source_names(
-        proxy.finder.find_names(proxy.route.list_unknown_source_ports())
+        proxy.finder.find_names(proxy.route.list_unknown_sources())
     )
     report = proxy.route.describe()
     assert min(report.bytes_to_target, report.bytes_to_source) > len(body)
@@ -114,7 +114,7 @@
 async def test_no_source_is_searched_once_its_faults_are_over(
     proxy: ProxyFixture, monkeypatch: MonkeyPatch
 ) -> None:
-    """A search reads all sockets of the machine, and holds up all connections."""
+    """A search lists the open files of the sources, and holds up all connections."""
     proxy.route.set_faults(RouteFaults(mode=PassMode.CUT), TEST_PROCESS)
     proxy.route.set_faults(RouteFaults(), TEST_PROCESS)
     monkeypatch.setattr(proxy.finder, "find_names", None)
