--- a/packages/router/plantaincart_router/direct/crashledger.py
+++ b/packages/router/plantaincart_router/direct/crashledger.py
@@ -204,7 +204,7 @@
         Returns
         -------
         bool
-            Whether a request must be refused from now on.
+            Whether a request must be refused from now on, or for much longer.
         """
         has_begun = False
         for record in records:
@@ -268,18 +268,23 @@
     ) -> bool:
         quarantine = self._quarantine
         was_refused = quarantine.is_quarantined(service, fingerprint, now)
+        crashes_before = quarantine.count_strikes(service, fingerprint, now)
         notice = QuarantineNotice(
             service=service, fingerprint=fingerprint, upstreams=upstreams
         )
-        if not quarantine.merge(notice, now) or was_refused:
+        if not quarantine.merge(notice, now):
             return False
+        crashes = quarantine.count_strikes(service, fingerprint, now)
+        if was_refused:
+            # Others may try it once more as well until they know that it failed.
+            return crashes_before <= MAX_CRASHES < crashes
         if not quarantine.is_quarantined(service, fingerprint, now):
             return False
         write_event(
             "request_quarantined",
             service=service,
             fingerprint=fingerprint,
-            crashes=quarantine.count_strikes(service, fingerprint, now),
+            crashes=crashes,
             seconds=quarantine.settings.quarantine_s,
         )
         return True
--- a/packages/router/plantaincart_router/direct/tests/test_crashes.py
+++ b/packages/router/plantaincart_router/direct/tests/test_crashes.py
@@ -164,6 +164,17 @@
     assert min(remaining_s(ledger, now + 60.0, rank) for rank in range(11)) > 500.0
 
 
+def test_failed_trial_is_told_at_once():
+    """The next instance tried a request, as a notice of the trial was still due."""
+    coordinator = CrashLedger()
+    record_crashes(coordinator, "u1", "u2", "u3")
+    records = [make_record_of("u1", "u2", "u3", "u4")]
+    now = crashledger.TRIAL_DELAY_S + 0.1
+    assert coordinator.merge(records, now)
+    assert not coordinator.merge(records, now + 0.1)
+    assert not coordinator.merge([make_record_of("u5")], now + 0.2)
+
+
 def test_later_coordinator_learns_all_from_the_members():
     """A coordinator was lost together with what it knew (BUDGET)."""
     members = [CrashLedger() for _ in range(3)]
