Name the crashes that an answer clears, so that later ones count

An answer clears a crashing request's record at all instances. What one had cleared it passed on for 2 s as "all"; each instance that still had a crash cleared that and passed it on anew.

A cleared record names the processes (`cleared`, by default empty, which means all, as earlier builds send it); it is passed on only where any of them is news.

--- a/packages/core/plantaincart_core/quarantine.py
+++ b/packages/core/plantaincart_core/quarantine.py
@@ -109,6 +109,39 @@
         suspect.strikes.clear()
         return True
 
+    def list_strikes(self, service: str, fingerprint: str) -> frozenset[str]:
+        """Return the upstream incarnations that are recorded as strikes."""
+        suspect = self._suspects.get((service, fingerprint))
+        return frozenset() if suspect is None else frozenset(suspect.strikes)
+
+    def clear_strikes(
+        self, service: str, fingerprint: str, upstreams: Iterable[str], now: float
+    ) -> bool:
+        """
+        Clear strikes that another instance has cleared, and don't record them later.
+
+        Parameters
+        ----------
+        service, fingerprint : str
+            Service and fingerprint of the request.
+        upstreams : iterable of str
+            Upstream incarnations that crashed before the request was answered.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether any of them was a strike, or wasn't known.
+        """
+        suspect = self._suspects.get((service, fingerprint))
+        cleared: set[str] = set()
+        if suspect is not None:
+            cleared = suspect.strikes.intersection(upstreams)
+            suspect.strikes -= cleared
+        is_new = self._add(service, fingerprint, upstreams, now, is_strike=False)
+        return is_new or bool(cleared)
+
     def count_strikes(self, service: str, fingerprint: str, now: float) -> int:
         """
         Count the strikes of a request.
@@ -237,7 +270,12 @@
             self._suspects.popitem(last=False)
 
     def _add(
-        self, service: str, fingerprint: str, upstreams: Iterable[str], now: float
+        self,
+        service: str,
+        fingerprint: str,
+        upstreams: Iterable[str],
+        now: float,
+        is_strike: bool = True,
     ) -> bool:
         self.expire(now)
         identity = (service, fingerprint)
@@ -247,7 +285,10 @@
         if not added:
             return False
         suspect.crashed.update(added)
-        suspect.strikes.update(added)
+        if is_strike:
+            suspect.strikes.update(added)
+        elif identity in self._suspects:
+            return True
         suspect.recorded_at = now
         self._suspects[identity] = suspect
         self._suspects.move_to_end(identity)
--- a/packages/router/plantaincart_router/direct/crashledger.py
+++ b/packages/router/plantaincart_router/direct/crashledger.py
@@ -78,7 +78,8 @@
     Each instance records what it has seen and reports it to the coordinator, which
     tells all instances. A record names the processes that ended, so that it may arrive
     more than once and on any way; a later coordinator learns the records from the
-    members. An answer proves that its request isn't the cause, at any instance.
+    members. An answer proves that its request wasn't the cause of what was known then,
+    at any instance; it names the processes, so that later crashes count.
 
     Other requests that were running at the same upstreams can't be told from the one
     that ended them. So a request is tried once more after `TRIAL_DELAY_S`, by one
@@ -112,7 +113,7 @@
 
     def __init__(self) -> None:
         self._quarantine = Quarantine(DispatchSettings(quarantine_strikes=MAX_CRASHES))
-        self._cleared_at: dict[tuple[str, str], float] = {}
+        self._cleared: dict[tuple[str, str], tuple[frozenset[str], float]] = {}
         self._losses: deque[tuple[Loss, float]] = deque(maxlen=MAX_LOSSES)
 
     def record_loss(self, loss: Loss, now: float) -> None:
@@ -145,8 +146,11 @@
 
     def record_answer(self, request: HttpRequest, service: str, now: float) -> None:
         """Record that an upstream answered a request after running it."""
-        if self._quarantine:
-            self._clear(service, fingerprint_request(request, service), now)
+        if not self._quarantine:
+            return
+        fingerprint = fingerprint_request(request, service)
+        strikes = self._quarantine.list_strikes(service, fingerprint)
+        self._clear(service, fingerprint, strikes, now)
 
     def remaining_s(
         self, request: HttpRequest, service: str, rank: int, now: float
@@ -213,7 +217,11 @@
                     record.service, record.fingerprint, record.upstreams, now
                 )
             else:
-                self._clear(record.service, record.fingerprint, now)
+                # Earlier builds name none.
+                cleared = frozenset(record.cleared) or self._quarantine.list_strikes(
+                    record.service, record.fingerprint
+                )
+                self._clear(record.service, record.fingerprint, cleared, now)
         return has_begun
 
     def list_reported(self, now: float, whole: bool) -> list[CrashRecord]:
@@ -257,8 +265,13 @@
             for notice in told
         ]
         cleared = [
-            CrashRecord(service=service, fingerprint=fingerprint, upstreams=[])
-            for (service, fingerprint), at in self._cleared_at.items()
+            CrashRecord(
+                service=service,
+                fingerprint=fingerprint,
+                upstreams=[],
+                cleared=sorted(upstreams),
+            )
+            for (service, fingerprint), (upstreams, at) in self._cleared.items()
             if now - at < CLEARED_MEMORY_S
         ]
         return (cleared + records)[:MAX_RECORDS]
@@ -289,13 +302,18 @@
         )
         return True
 
-    def _clear(self, service: str, fingerprint: str, now: float) -> None:
-        self._cleared_at = {
-            identity: at
-            for identity, at in self._cleared_at.items()
+    def _clear(
+        self, service: str, fingerprint: str, upstreams: frozenset[str], now: float
+    ) -> None:
+        identity = (service, fingerprint)
+        self._cleared = {
+            name: (cleared, at)
+            for name, (cleared, at) in self._cleared.items()
             if now - at < CLEARED_MEMORY_S
         }
-        if not self._quarantine.record_answer(service, fingerprint):
+        # What is known already isn't passed on, or it would go round for ever.
+        if not self._quarantine.clear_strikes(service, fingerprint, upstreams, now):
             return
-        self._cleared_at[service, fingerprint] = now
+        earlier, _ = self._cleared.get(identity, (frozenset(), now))
+        self._cleared[identity] = earlier | upstreams, now
         write_event("request_cleared", service=service, fingerprint=fingerprint)
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -180,8 +180,9 @@
 def _check_crashes(crashes: Sequence[CrashRecord]) -> None:
     _check(len(crashes) <= MAX_CRASH_RECORDS, "number of crash records")
     for crash in crashes:
-        names = [crash.service, crash.fingerprint, *crash.upstreams]
-        _check(len(crash.upstreams) <= MAX_CRASHED_UPSTREAMS, "crashed upstreams")
+        upstreams = [*crash.upstreams, *crash.cleared]
+        names = [crash.service, crash.fingerprint, *upstreams]
+        _check(len(upstreams) <= MAX_CRASHED_UPSTREAMS, "crashed upstreams")
         _check_range(map(len, names), MAX_NAME_LENGTH, "names of a crash record")
 
 
--- a/packages/router/plantaincart_router/direct/tests/test_crashes.py
+++ b/packages/router/plantaincart_router/direct/tests/test_crashes.py
@@ -145,6 +145,28 @@
     assert remaining_s(ledgers[0], 0.8) == 0.0
 
 
+def test_crashes_after_an_answer_count():
+    """What one instance had cleared was passed on for ever, and cleared all later
+    crashes as well (BUDGET)."""
+    coordinator, *members = (CrashLedger() for _ in range(4))
+    record_crashes(members[0], "u1", "u2")
+    ended = 2
+    for tick in range(200):
+        now = tick * 0.1
+        for member in members:
+            coordinator.merge(member.list_reported(now, whole=False), now)
+        for member in members:
+            member.merge(coordinator.list_told(now, whole=False), now)
+        member = members[tick % 3]
+        if tick == 3:
+            members[0].record_answer(REQUEST, "ledger", now)
+        elif tick > 5 and tick % 4 == 0 and not remaining_s(member, now, rank=2):
+            ended += 1
+            record_crashes(member, f"u{ended}", now=now)
+    # Two before the answer, those that are needed, and one that is tried once more.
+    assert ended == 2 + crashledger.MAX_CRASHES + 1
+
+
 def make_record_of(*upstreams):
     return CrashRecord(
         service="ledger",
