Let answers during a silent attempt show the silence

Cause: a sighting needed an ordinary answer after the attempt's end (2 s) to a request sent within 3 s of its sending, so there was one second for it, and the end makes the upstream look slow, so that few send there then.

Change: an ordinary answer that came during the attempt counts too, if its request was sent when the attempt was overdue already, and most answers of the process to later requests were ordinary. So an upstream that stood still meanwhile shows nothing, nor one that was slow and has recovered. The test without a network fails without the change.

--- a/packages/core/plantaincart_core/silence.py
+++ b/packages/core/plantaincart_core/silence.py
@@ -1,5 +1,6 @@
 """Upstreams that never answer some requests, told from upstreams that are slow."""
 
+from collections import deque
 from dataclasses import dataclass
 from math import erfc, exp, inf, log, sqrt
 
@@ -16,6 +17,8 @@
 # Fraction to which silences may have aged and still count: they are then seen within
 # four tenths of the half-life.
 FORGOTTEN_SHARE = 0.75
+# Answers of one process that are kept, at most.
+MAX_ANSWERS = 16
 # Smallest expected response time in seconds that a ratio refers to.
 LEAST_EXPECTED_S = 0.005
 
@@ -146,7 +149,8 @@
     `p / (p + (1 - p) * s)`.
 
     Silence is shown by an attempt that got no byte until its end, long after the usual
-    time, if the same process soon gave an ordinary answer to a request sent after it.
+    time, if the same process soon gave an ordinary answer to a request sent after it:
+    after its end, or before it to a request sent when the attempt was overdue already.
     An upstream that is slow, stands still or is gone gives none.
 
     Examples
@@ -174,6 +178,9 @@
         self._told_until = -inf
         # Time of sending of the last unanswered attempt, by upstream process.
         self._suspected: dict[str, float] = {}
+        # Time of sending of the last answered requests, and whether the answers were
+        # ordinary, by upstream process.
+        self._answers: dict[str, deque[tuple[float, bool]]] = {}
 
     def has_shown(self, now: float) -> bool:
         """Return whether upstreams of the service fall silent."""
@@ -208,6 +215,8 @@
         self._attempts += 1.0
         is_ordinary = not self._is_overdue(wait)
         self._find_spread(wait.route).record(wait.elapsed_s, wait.expected_s)
+        answers = self._answers.setdefault(wait.process, deque(maxlen=MAX_ANSWERS))
+        answers.append((wait.sent_at, is_ordinary))
         suspected_at = self._suspected.get(wait.process)
         if suspected_at is None or wait.sent_at <= suspected_at:
             return False
@@ -237,9 +246,44 @@
         if not self._is_overdue(wait):
             return False
         self._unanswered += 1.0
-        self._suspected[wait.process] = wait.sent_at
+        if self.was_overtaken(wait):
+            self.record_shown(wait.ended_at)
+        else:
+            self._suspected[wait.process] = wait.sent_at
         return self.has_shown(wait.ended_at)
 
+    def was_overtaken(self, wait: Wait) -> bool:
+        """
+        Return whether answers that came during an attempt show that it met silence.
+
+        Parameters
+        ----------
+        wait : Wait
+            An attempt that ended without a byte of an answer.
+
+        Notes
+        -----
+        An answer to a request sent before the attempt was overdue proves little: the
+        upstream may have stood still since then. One that was slow and has recovered
+        gave slow answers, too.
+        """
+        if not self._is_overdue(wait):
+            return False
+        survival = self._settings.most_survival
+        spread = self._find_spread(wait.route)
+        overdue_at = wait.sent_at + spread.find_time_s(survival, wait.expected_s)
+        later = [
+            item
+            for item in self._answers.get(wait.process, ())
+            if item[0] > wait.sent_at
+        ]
+        ordinary = [sent_at for sent_at, is_ordinary in later if is_ordinary]
+        is_proved = any(
+            overdue_at <= sent_at <= wait.sent_at + self._settings.confirm_s
+            for sent_at in ordinary
+        )
+        return is_proved and 2 * len(ordinary) > len(later)
+
     def record_shown(self, now: float) -> None:
         """Record that an upstream of the service was seen to fall silent."""
         self._age(now)
@@ -248,6 +292,7 @@
     def forget_process(self, process: str) -> None:
         """Drop what is suspected of a process that has ended."""
         self._suspected.pop(process, None)
+        self._answers.pop(process, None)
 
     def choose_limit_s(self, route: str, expected_s: float, now: float) -> float:
         """
--- a/packages/core/plantaincart_core/tests/test_silence.py
+++ b/packages/core/plantaincart_core/tests/test_silence.py
@@ -73,6 +73,43 @@
     assert not silence.has_shown(5.0)
 
 
+def test_answers_during_an_attempt_show_silence():
+    """Nobody sends to the upstream after the end, since it then counts as slow."""
+    silence = ServiceSilence(SilenceSettings())
+    record_ordinary(silence, 50, Random(2))
+    for start in (0.0, 2.5):
+        for at in (0.3, 1.1, 1.6):
+            silence.record_answer(make_wait(EXPECTED_S, start + at))
+        attempt = make_wait(2.0, start)
+        silence.record_unanswered(attempt)
+    assert silence.has_shown(4.5)
+
+
+def test_an_upstream_that_stands_still_shows_no_silence():
+    """It answered what was sent just after the attempt, and nothing since."""
+    silence = ServiceSilence(SilenceSettings())
+    record_ordinary(silence, 50, Random(2))
+    for upstream in range(5):
+        process = f"u{upstream}"
+        silence.record_answer(make_wait(EXPECTED_S, 0.05, process))
+        silence.record_unanswered(make_wait(2.0, 0.0, process))
+    assert not silence.has_shown(2.0)
+
+
+def test_an_upstream_that_recovers_during_attempts_shows_no_silence():
+    """Pattern srv_slow that ends: what began before takes as long as it would have."""
+    silence = ServiceSilence(SilenceSettings())
+    record_ordinary(silence, 200, Random(2))
+    for upstream in range(5):
+        process = f"u{upstream}"
+        for at in (0.1, 0.2):
+            silence.record_answer(make_wait(1.1, at, process))
+        for at in (1.3, 1.6):
+            silence.record_answer(make_wait(EXPECTED_S, at, process))
+        silence.record_unanswered(make_wait(2.0, 0.0, process))
+    assert not silence.has_shown(2.0)
+
+
 def test_most_repeats_are_needed():
     """Load 1.7 times the room: repeats must not add more runs than were lost."""
     for share in (0.03, 0.1, 0.25):
