Don't take certain silence for slowness

Cause: the end of a silent attempt raised the slowness of its upstream. For a request of 30 ms that ends after 2 s that is a factor of up to 20; upstreams had slownesses of 5 to 13.

Change: an end says nothing of slowness if the service's upstreams fall silent and ordinary answers came during the attempt (ServiceSilence.was_overtaken). All other overdue attempts raise it as before.

--- a/packages/router/plantaincart_router/direct/cost.py
+++ b/packages/router/plantaincart_router/direct/cost.py
@@ -99,7 +99,7 @@
         return self._mean_work_s.get(call.service.name, default_s)
 
     def record_overdue(
-        self, record: UpstreamRecord, waited_s: float, expected: LatencyEstimate
+        self, record: UpstreamRecord, waited_s: float, expected_s: float
     ) -> None:
         """
         Learn from a request that wasn't answered in time.
@@ -110,10 +110,9 @@
             Upstream to which it was sent.
         waited_s : float
             Seconds for which its answer was waited for.
-        expected : LatencyEstimate
-            Expected times when it was sent.
+        expected_s : float
+            Seconds that it was expected to take when it was sent.
         """
-        expected_s = expected.wait_s + expected.work_s
         self._view.loads.record_overdue(record.id, waited_s, expected_s)
         factor = waited_s / max(expected_s, MIN_EXPECTED_S)
         lasting = self._view.speeds.find_lasting(record.id)
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -140,7 +140,6 @@
                 self._record_full(call, record)
             if error.timed_out:
                 self._view.paces.record(record.id, is_good=False)
-                self._costs.record_overdue(record, monotonic() - sent_at, expected)
             else:
                 # Upstreams may reset the connection when they are full.
                 self._view.paces.record_full(record.id)
--- a/packages/router/plantaincart_router/direct/silenceguard.py
+++ b/packages/router/plantaincart_router/direct/silenceguard.py
@@ -251,8 +251,9 @@
         try:
             answer = await self._sender.send(call, record, attempt.progress)
         except LostError as error:
-            if error.timed_out:
-                self._record_unanswered(attempt)
+            if error.timed_out and not self._record_unanswered(attempt):
+                elapsed_s = monotonic() - attempt.started_at
+                self._costs.record_overdue(record, elapsed_s, attempt.expected_s)
             raise
         waited = attempt.measure(monotonic())
         if waited is not None and silence.record_answer(waited):
@@ -261,16 +262,22 @@
             self._metrics.count("silent", call.service.name, "slow")
         return answer
 
-    def _record_unanswered(self, attempt: WatchedAttempt) -> None:
+    def _record_unanswered(self, attempt: WatchedAttempt) -> bool:
+        """Return whether an attempt certainly met silence, which is no slowness."""
         call, record = attempt.call, attempt.record
         waited = attempt.measure(monotonic())
         if waited is None or attempt.progress.started_at is not None:
-            return
-        if not self._find_silence(call).record_unanswered(waited):
-            return
+            return False
+        silence = self._find_silence(call)
+        was_overtaken = silence.was_overtaken(waited)
+        if was_overtaken:
+            write_event("silence_shown", service=call.service.name, upstream=record.id)
+        if not silence.record_unanswered(waited):
+            return False
         self._metrics.count("silent", call.service.name, "unanswered")
         if self.listener is not None:
             self.listener.record_silent(record, attempt.in_flight)
+        return was_overtaken
 
     def _judge(self, attempt: WatchedAttempt) -> bool:
         """Take an attempt for silent unless its answer has begun to arrive."""
--- a/packages/router/plantaincart_router/direct/tests/test_silence.py
+++ b/packages/router/plantaincart_router/direct/tests/test_silence.py
@@ -165,6 +165,24 @@
     assert listener.heard == [("u0", 0.0)]
 
 
+@pytest.mark.parametrize("shown", [True, False])
+async def test_silence_is_no_slowness(shown):
+    """Repeats were refused, as silent ends made all upstreams look slow."""
+    upstream = Upstream(fall_silent(), answer())
+    plan = make_plan(keyed=False, idempotent=False)
+    async with run_gateway(upstream, plan=plan) as (gateway, view):
+        if shown:
+            show_silence(gateway)
+        set_usual_time(view)
+        silent = create_task(call_gateway(gateway, remaining_s=0.8))
+        for at in range(6):
+            await sleep(0.1)
+            response = await call_gateway(gateway, request_id=f"later{at}")
+            assert response.status == 200
+        assert (await silent).status == 504
+        assert (view.loads.get("u0").slowness < 1.5) is shown
+
+
 async def test_keyed_lookup_goes_to_the_owner_again():
     """Only the owner may run it, on another connection, once it has room."""
     owner = Upstream(fall_silent(), answer())
