Keep room for the bursts of an earlier build

Cause: an instance of an earlier build takes no units, and counted by the requests in progress of its last report.

The test without a network fails without it.

--- a/packages/core/plantaincart_core/roomaccount.py
+++ b/packages/core/plantaincart_core/roomaccount.py
@@ -89,12 +89,16 @@
         What it reported last.
     heard_at : float
         Time in seconds of that report.
+    peaks : dict of str to tuple of (int, float)
+        Most requests of a member of an earlier build lately, and when it had them, by
+        upstream: it takes no units for those that it sends next.
     """
 
     __slots__ = (
         "bound",
         "granted",
         "heard_at",
+        "peaks",
         "planned",
         "report",
         "taken",
@@ -109,6 +113,7 @@
         self.taken: dict[str, int] = {}
         self.report = MemberRoom()
         self.heard_at = 0.0
+        self.peaks: dict[str, tuple[int, float]] = {}
 
 
 class RoomAccount:
@@ -146,6 +151,7 @@
         self._first_version = self._version = first_version
         self._expected = expected
         self._lease_s = settings.lease_s + settings.end_s
+        self._memory_s = settings.demand_memory_s
         self._opened_at = now
         self._is_settled = expected == 0
         self._leases: dict[str, RoomLease] = {}
@@ -176,6 +182,8 @@
         self.members.add(member)
         self._replace_report(lease, report)
         lease.heard_at = now
+        if not report.knows_room:
+            self._record_peaks(lease, now)
         self._update(lease)
 
     def retain(self, members: Iterable[str], now: float) -> None:
@@ -242,10 +250,23 @@
         replace_counts(self.demand, earlier.waiting, report.waiting)
         lease.report = report
 
+    def _record_peaks(self, lease: RoomLease, now: float) -> None:
+        peaks = {
+            name: peak
+            for name, peak in lease.peaks.items()
+            if now - peak[1] <= self._memory_s
+        }
+        for name, count in lease.report.in_use.items():
+            if count >= peaks.get(name, (0, now))[0]:
+                peaks[name] = (count, now)
+        lease.peaks = peaks
+
     def _update(self, lease: RoomLease) -> None:
         planned = dict(lease.report.in_use)
         if lease.report.knows_room:
             _raise_to(planned, lease.granted)
+        else:
+            _raise_to(planned, {name: peak[0] for name, peak in lease.peaks.items()})
         taken = dict(planned)
         if lease.report.knows_room:
             _raise_to(taken, lease.bound)
--- a/packages/core/plantaincart_core/tests/test_room.py
+++ b/packages/core/plantaincart_core/tests/test_room.py
@@ -234,6 +234,25 @@
     assert ledger.grant("r1", 0.0)[1] == {"u1": 1}
 
 
+def test_bursts_of_an_earlier_build_keep_their_room():
+    """Between its bursts it had no requests, and others got the room of the next."""
+    ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
+    ledger.set_rooms(
+        {"u1": UpstreamRoom(service="desk", data_centre="", units=6, keyed=False)}
+    )
+
+    def report(now, in_use):
+        earlier = MemberRoom(knows_room=False, in_use=in_use)
+        ledger.record_report("old", earlier, now)
+        own = MemberRoom(wants={"desk": 9}, in_use={"u1": 2}, waiting={"u1": 2})
+        ledger.record_report("r1", own, now)
+        return ledger.grant("r1", now)[1]["u1"]
+
+    for step in range(12):
+        assert report(step * REPORT_S, {} if step % 4 else {"u1": 3}) <= 3
+    assert report(12 * REPORT_S + SETTINGS.demand_memory_s, {}) > 3
+
+
 def test_lost_instance_counts_until_its_lease_has_ended():
     ledger = RoomLedger(SETTINGS, 1, Random(1), 0, 0.0)
     ledger.set_rooms(
