--- a/packages/core/plantaincart_core/tests/test_roomreset.py
+++ b/packages/core/plantaincart_core/tests/test_roomreset.py
@@ -84,6 +84,27 @@
     assert find_division(bursts=20, burst=6, reset_share=0.2) is None
 
 
+def test_resets_beside_queues_that_come_and_go_count_for_nothing():
+    """Upstreams are busy for 30 % of the time, and a fault resets one in twenty."""
+    random = Random(7)
+    servers = [Upstream(random, 16) for _ in range(8)]
+    events, accepted, at = [], [], 0.0
+    while at < 20.0:
+        at += random.expovariate(0.3 * len(servers) * SLOTS / WORK_S)
+        name = random.randrange(len(servers))
+        end = servers[name].take(at)
+        if random.random() < 0.05:
+            events.append((at, name, None))
+        else:
+            accepted.append((at, end, name))
+    for _, end, name in accepted:
+        count = sum(
+            begin < end <= other for begin, other, which in accepted if which == name
+        )
+        events.append((end, name, count))
+    assert find_division_time(events, random) is None
+
+
 def test_single_upstream_that_resets_counts_for_nothing():
     """One that ends breaks all its connections; one may also reset by a fault."""
     assert find_division(bursts=20, burst=30, upstreams=1) is None
@@ -99,3 +120,14 @@
         if answers_again:
             events += [(1.6, name, 5)]
     assert find_division_time(events, Random(2)) is None
+
+
+def test_upstream_known_to_be_full_shows_that_others_may_be():
+    """The first bursts overfilled one upstream; sums showed that another was full."""
+    evidence = ResetEvidence(SETTINGS)
+    evidence.record_resets("u1", [0.01, 0.01, 0.48])
+    for at in (0.06, 0.52):
+        evidence.record_busy("u1", at)
+    assert evidence.pop_counted(0.6) == {}
+    evidence.record_full("u2", 0.7)
+    assert evidence.pop_counted(0.7) == {"u1": 3}
--- a/packages/router/plantaincart_router/direct/resetsightings.py
+++ b/packages/router/plantaincart_router/direct/resetsightings.py
@@ -18,7 +18,8 @@
     Examples
     --------
     >>> record = UpstreamRecord(
-    ...     id="u1", service="desk", host="a", port=1, data_centre="", slots=2, born=1)
+    ...     id="u1", service="desk", host="a", port=1, data_centre="", slots=2, born=1,
+    ...     ready=True, warmup_left_s=0.0)
     >>> sightings = ResetSightings()
     >>> sightings.record_reset(record, now=1.0)
     >>> sightings.record_requests(record, 3, now=1.1)
--- a/packages/router/plantaincart_router/direct/roomfact.py
+++ b/packages/router/plantaincart_router/direct/roomfact.py
@@ -191,7 +191,11 @@
             evidence = self._find_resets(name)
             if evidence is not None:
                 evidence.record_busy(name, now - age_s)
-        if report.room_resets or report.room_busy:
+        for name in report.room_full:
+            evidence = self._find_resets(name)
+            if evidence is not None:
+                evidence.record_full(name, now)
+        if report.room_resets or report.room_busy or report.room_full:
             for service, evidence in self._resets.items():
                 estimate = self._find_estimate(service)
                 for name, count in evidence.pop_counted(now).items():
