--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -148,10 +148,10 @@
 
 
 @asynccontextmanager
-async def run_gateway(*upstreams, plan=None, bounds=None, send=None):
+async def run_gateway(*upstreams, plan=None, bounds=None, send=None, **fields):
     plan = plan or make_plan(keyed=False)
     settings = make_settings(
-        bounds=bounds or BoundSettings(), send=send or SendSettings()
+        bounds=bounds or BoundSettings(), send=send or SendSettings(), **fields
     )
     pools = UpstreamPools(settings.send)
     view = SystemView(settings, PlainReader(), pools)
