Act on an answer of the store before its row is decoded

Found by the review of the divided follower: where the coordinator's row can't be decoded, TermWatch raised before the feeds were asked to call again and before the answer was recorded, which they were before.

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -174,7 +174,7 @@
             if self.coordinator.is_cut_off:
                 self._cut_off_until = monotonic() + CUT_OFF_MEMORY_S
             self.coordinator = None
-            self._term.row = None
+            self._term.forget()
             self._coordinator_resigned = False
         self._report()
         if self._lacks_coordinator and not self._leaving:
@@ -204,7 +204,7 @@
     async def _read_row(self) -> None:
         timer = self._loop.call_later(INQUIRY_DELAY_S, self._inquire)
         try:
-            row = await self._term.read()
+            view = await self._term.read()
         finally:
             timer.cancel()
         if self._row_read_failed:
@@ -212,7 +212,8 @@
             self._row_read_failed = False
             for feed in self.feeds:
                 feed.poll_now()
-        self._probe.record_answer(self._term.read_at)
+        self._probe.record_answer(monotonic())
+        row = self._term.apply(view)
         if row is not None:
             self._connect(row)
 
@@ -463,7 +464,7 @@
         if notice.resigned:
             self._coordinator_resigned = True
             self._resigned_epoch = notice.epoch
-            self._term.read_at = monotonic()
+            self._term.defer_read()
             return
         self._last_notice_at = monotonic()
         self._handle_store_doubt(notice.doubt)
--- a/packages/router/plantaincart_router/direct/termwatch.py
+++ b/packages/router/plantaincart_router/direct/termwatch.py
@@ -64,21 +64,41 @@
         """Latest epoch of which this instance knows the holder."""
         return 0 if self.row is None else self.row.epoch
 
-    async def read(self) -> CoordinatorRow | None:
+    async def read(self) -> TableRows:
         """
-        Read the row.
+        Read the table with the row.
 
         Returns
         -------
-        CoordinatorRow or None
-            The row, if it names another term than before.
+        TableRows
+            What the store answered, for `apply`.
 
         Raises
         ------
         StoreUnavailableError
             If the store doesn't answer.
         """
-        view = await self._store.read(COORDINATOR_TABLE)
+        return await self._store.read(COORDINATOR_TABLE)
+
+    def apply(self, view: TableRows) -> CoordinatorRow | None:
+        """
+        Apply an answer of the store that has just come.
+
+        Parameters
+        ----------
+        view : TableRows
+            The answer.
+
+        Returns
+        -------
+        CoordinatorRow or None
+            The row, if it names another term than before.
+
+        Raises
+        ------
+        MalformedMessageError
+            If the row can't be decoded.
+        """
         now = monotonic()
         gap_s = now - self.read_at
         self.read_at = now
@@ -96,6 +116,14 @@
         is_new = old is None or (old.holder, old.epoch) != (row.holder, row.epoch)
         return row if is_new else None
 
+    def forget(self) -> None:
+        """Forget the row, so that it is read and followed anew."""
+        self.row = None
+
+    def defer_read(self) -> None:
+        """Count the present moment as the last read."""
+        self.read_at = monotonic()
+
     def adopt(self, row: CoordinatorRow) -> None:
         """
         Take over a term that another instance has named.
