--- a/packages/router/plantaincart_router/direct/admissioncontrol.py
+++ b/packages/router/plantaincart_router/direct/admissioncontrol.py
@@ -7,13 +7,11 @@
 
 from plantaincart_core.admission import Admission, LatencyEstimate, decide_admission
 from plantaincart_core.directory import UpstreamRecord
-from plantaincart_core.returnqueue import ReturnQueue
 from plantaincart_core.verdict import Refusal
 from plantaincart_core.waitbound import WaitBounds
 
 from plantaincart_router.direct.call import Call
 from plantaincart_router.direct.cost import CostEstimator
-from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.rejection import RejectionFactory
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.view import SystemView
@@ -73,8 +71,6 @@
         Expected wait and duration.
     rejections : RejectionFactory
         Makes the errors for requests that aren't admitted.
-    metrics : RouterMetrics
-        Counters and histograms.
     """
 
     def __init__(
@@ -83,27 +79,19 @@
         view: SystemView,
         costs: CostEstimator,
         rejections: RejectionFactory,
-        metrics: RouterMetrics,
     ) -> None:
         self._settings = settings
         self._view = view
-        self._metrics = metrics
         self._costs = costs
         self._rejections = rejections
         self._bounds = WaitBounds()
-        self._returns = ReturnQueue()
 
     def copy(
-        self,
-        view: SystemView,
-        costs: CostEstimator,
-        rejections: RejectionFactory,
-        metrics: RouterMetrics,
+        self, view: SystemView, costs: CostEstimator, rejections: RejectionFactory
     ) -> Self:
         """Return a copy that decides by another state, and learns apart."""
-        copied = type(self)(self._settings, view, costs, rejections, metrics)
+        copied = type(self)(self._settings, view, costs, rejections)
         copied._bounds = deepcopy(self._bounds)
-        copied._returns = self._returns.copy()
         return copied
 
     def assess(
@@ -131,48 +119,11 @@
         RefusedError
             If it isn't admitted.
         """
-        now = monotonic()
         expected, admission = self.assess(call, record)
-        if not admission.admitted:
-            self._returns.record_short(record.id, now)
-        else:
-            admission = self._leave_places(call, record, expected, admission, now)
         if not admission.admitted:
             self._bounds.record_end(call.service.name, is_admitted=False)
             raise self._rejections.refuse_overloaded(call, record, expected, admission)
 
-    def _leave_places(
-        self,
-        call: Call,
-        record: UpstreamRecord,
-        expected: LatencyEstimate,
-        admission: Admission,
-        now: float,
-    ) -> Admission:
-        """Return the decision with places in the queue left to those who return."""
-        may_leave = (
-            self._settings.admission.keeps_room_for_returns
-            and call.service.keyed
-            and call.route.idempotent
-            and not call.attempts
-        )
-        if not may_leave:
-            return admission
-        share = self._returns.find_share(record.id, call.is_returning, now)
-        bound_s = share * max(0.0, admission.max_latency_s - expected.work_s)
-        if expected.wait_s <= bound_s:
-            return admission
-        service, target_s = call.service.name, call.route.target_s
-        work_s = self._costs.estimate_work(call)
-        # Less urgent requests mustn't take what this one leaves.
-        self._bounds.record(service, call.route.name, call.rank, target_s, work_s, now)
-        self._metrics.count("places_left", service)
-        return Admission(
-            admitted=False,
-            max_latency_s=bound_s + expected.work_s,
-            retry_after_s=expected.wait_s - bound_s,
-        )
-
     def find_latest(self, call: Call, record: UpstreamRecord, now: float) -> float:
         """
         Return the latest time at which a request may be sent.
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -149,9 +149,7 @@
             )
             self._policies = (rank_admission, account_turns)
         self._gate: RoomGate = view.room
-        admission = AdmissionControl(
-            settings, view, self._costs, self._rejections, metrics
-        )
+        admission = AdmissionControl(settings, view, self._costs, self._rejections)
         queue = EntryQueue(self._gate, settings.queue, account_turns.choose_turn)
         self._selector = UpstreamSelector(
             settings,
--- a/packages/router/plantaincart_router/direct/metrics.py
+++ b/packages/router/plantaincart_router/direct/metrics.py
@@ -19,7 +19,6 @@
     "quarantined": ("Requests refused since upstreams ended under them", ("service",)),
     "silent": ("Attempts without a byte of an answer", ("service", "result")),
     "rank_cut": ("Requests that the share of their rank didn't admit", ("service",)),
-    "places_left": ("Requests that left room to returning ones", ("service",)),
     "attempts_at_full": ("Requests that full upstreams turned away", ("service",)),
     "repeats_denied": ("Repeats that the retry budget didn't allow", ("service",)),
 }
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -268,9 +268,6 @@
     cuts_by_rank : bool
         Whether all instances admit the same share of each rank while a service is
         short of room.
-    keeps_room_for_returns : bool
-        Whether new requests leave the end of the queue at a short owner of keys to
-        callers that have been turned away before.
     """
 
     wait_shares: tuple[float, ...] = (2.2, 1.8, 1.5)
@@ -278,7 +275,6 @@
     least_retry_s: float = 0.1
     most_retry_s: float = 2.0
     cuts_by_rank: bool = False
-    keeps_room_for_returns: bool = False
 
     def choose_share(self, rank: int, standing: bool) -> float:
         """
--- a/packages/router/plantaincart_router/direct/tests/test_gateway.py
+++ b/packages/router/plantaincart_router/direct/tests/test_gateway.py
@@ -148,10 +148,10 @@
 
 
 @asynccontextmanager
-async def run_gateway(*upstreams, plan=None, bounds=None, send=None, **fields):
+async def run_gateway(*upstreams, plan=None, bounds=None, send=None):
     plan = plan or make_plan(keyed=False)
     settings = make_settings(
-        bounds=bounds or BoundSettings(), send=send or SendSettings(), **fields
+        bounds=bounds or BoundSettings(), send=send or SendSettings()
     )
     pools = UpstreamPools(settings.send)
     view = SystemView(settings, PlainReader(), pools)
--- a/packages/router/plantaincart_router/direct/where/trial.py
+++ b/packages/router/plantaincart_router/direct/where/trial.py
@@ -152,7 +152,7 @@
             rejections,
             metrics,
         )
-        self.admission = parts.admission.copy(view, self.costs, rejections, metrics)
+        self.admission = parts.admission.copy(view, self.costs, rejections)
         self.quarantine = QuarantineCheck(view, metrics)
         self._policies: tuple[EntryPolicy, ...] = (deepcopy(parts.account_turns),)
         if parts.rank_admission is not None:
