--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -5,11 +5,13 @@
 from time import monotonic
 
 from plantaincart_core.division import divide_keys
+from plantaincart_core.hotspot import plan_hot_key_moves
+from plantaincart_core.keybalance import plan_key_moves
 from plantaincart_core.keyload import KeyLoads
 from plantaincart_core.keymove import KeyMove, Owner
-from plantaincart_core.keyplan import plan_rebalance
 from plantaincart_core.keytrial import plan_trial_moves
 from plantaincart_core.ownermap import KeyRange, OwnerMap
+from plantaincart_core.rangemerge import plan_merges
 from plantaincart_core.rangeset import RangeSet
 
 from plantaincart_router.direct.granter import Granter
@@ -199,15 +201,16 @@
         self, ranges: OwnerMap, moving: RangeSet, owners: Mapping[str, Owner]
     ) -> list[KeyMove]:
         """Plan moves that even out the load, without ranges that already move."""
-        loads = self._key_loads.loads
-        moves = plan_rebalance(
-            ranges,
-            loads,
-            owners,
-            self._key_loads.request_load,
-            self._rebalance_settings,
-            moving,
+        if not moving:
+            moves = self._plan_for_idle_owner(ranges, owners)
+            if moves:
+                return moves
+        loads, settings = self._key_loads.loads, self._rebalance_settings
+        moves = plan_hot_key_moves(ranges, loads, owners, settings, moving)
+        moves += plan_key_moves(
+            ranges, loads, owners, self._key_loads.request_load, settings, moving
         )
+        moves += plan_merges(ranges, loads, owners, settings)
         return moves + plan_trial_moves(ranges, loads, self._list_tried(owners), moving)
 
     def _list_tried(self, owners: Mapping[str, Owner]) -> list[str]:
@@ -219,3 +222,25 @@
             if owner.capacity > NO_CAPACITY
             and self._granter.may_be_tried(owner.id, owner.born, now)
         ]
+
+    def _plan_for_idle_owner(
+        self, ranges: OwnerMap, owners: Mapping[str, Owner]
+    ) -> list[KeyMove]:
+        """Plan to move half of the widest range to an upstream without keys."""
+        owners_with_keys = {key_range.owner for key_range in ranges}
+        for owner in owners.values():
+            if not owner.accepts_keys or owner.id in owners_with_keys:
+                continue
+            widest = max(ranges, key=lambda key_range: key_range.last - key_range.first)
+            middle = (widest.first + widest.last + 1) // 2
+            if widest.last <= widest.first or not widest.owner:
+                return []
+            return [
+                KeyMove(
+                    first=middle,
+                    last=widest.last,
+                    source=widest.owner,
+                    target=owner.id,
+                )
+            ]
+        return []
