--- a/packages/router/plantaincart_router/direct/reachabilityprobe.py
+++ b/packages/router/plantaincart_router/direct/reachabilityprobe.py
@@ -34,7 +34,7 @@
     async def run(self) -> None:
         """Connect while there is doubt until cancelled."""
         while True:
-            if self._reachability.is_doubtful and not self._pools.is_confirming:
+            if self._reachability.is_doubtful:
                 await self._connect()
             is_cut_off = self._reachability.is_cut_off
             await sleep(CUT_OFF_INTERVAL_S if is_cut_off else DOUBT_INTERVAL_S)
