--- a/packages/core/plantaincart_core/accountquota.py
+++ b/packages/core/plantaincart_core/accountquota.py
@@ -217,6 +217,7 @@
         self.alone_limit_s = 110.0
         # The answer to the next report comes before this instance is alone.
         self._in_time_s = self.alone_s - report_s
+        self._heard_late_at = float("-inf")
         self._horizon_s = 3.0 * report_s
         self.members = 1
         self.rank: int | None = None
@@ -303,6 +304,20 @@
         """
         return now - asked_at > self._in_time_s
 
+    def record_late(self, asked_at: float) -> None:
+        """
+        Record an answer that came too late to be adopted.
+
+        It shows that the coordinator goes on counting this instance as one that uses
+        its own share.
+
+        Parameters
+        ----------
+        asked_at : float
+            Time in seconds at which the report was sent.
+        """
+        self._heard_late_at = max(self._heard_late_at, asked_at)
+
     def pool_share(self, now: float) -> bool:
         """
         Leave the own share to a coordinator that isn't sure of itself yet.
@@ -489,7 +504,8 @@
         """Take a token of this instance's own share while it is alone."""
         if self.rank is None or not self.is_alone(now) or self._is_pooled(now):
             return False
-        if now - max(self.led_at, self._known_at) > self.alone_limit_s:
+        counted_at = max(self.led_at, self._known_at, self._heard_late_at)
+        if now - counted_at > self.alone_limit_s:
             return False
         if self._measure_own_wait(account, state, now) > 0.0:
             return False
--- a/packages/core/plantaincart_core/accountshare.py
+++ b/packages/core/plantaincart_core/accountshare.py
@@ -77,6 +77,8 @@
     has_pooled: bool = False
     # Time by its own clock until which it used its own share.
     own_until: float = 0.0
+    # Time of its last report, answered or not.
+    reported_at: float = float("-inf")
     # Latest time at which it was counted as lost, and whether it has been counted so
     # since it last used its own share.
     lost_at: float = float("-inf")
@@ -180,9 +182,10 @@
         contact = self._contacts.get(instance)
         if contact is None:
             self._contacts[instance] = _Contact(
-                now, received, pools, own_until=own_until
+                now, received, pools, own_until=own_until, reported_at=now
             )
             return
+        contact.reported_at = now
         if own_until != contact.own_until:
             contact.own_until = own_until
             is_recent = now - contact.lost_at <= 2.0 * self._alone_s
@@ -211,7 +214,8 @@
 
     def _measure_present(self, now: float) -> float:
         for name, contact in list(self._contacts.items()):
-            if now - contact.heard_at > LOST_MEMORY_S:
+            # One that reports without being answered in time uses its own share.
+            if now - contact.reported_at > LOST_MEMORY_S:
                 del self._contacts[name]
         if now - self._began_at > LOST_MEMORY_S:
             self._expected = 1
--- a/packages/core/plantaincart_core/silence.py
+++ b/packages/core/plantaincart_core/silence.py
@@ -181,6 +181,8 @@
         # Time of sending of the last answered requests, and whether the answers were
         # ordinary, by upstream process.
         self._answers: dict[str, deque[tuple[float, bool]]] = {}
+        # Time of sending of the last answered request that has shown silence.
+        self._shown_by: dict[str, float] = {}
 
     def has_shown(self, now: float) -> bool:
         """Return whether upstreams of the service fall silent."""
@@ -247,7 +249,7 @@
             return False
         self._unanswered += 1.0
         if self.was_overtaken(wait):
-            self.record_shown(wait.ended_at)
+            self._record_overtaken(wait)
         else:
             self._suspected[wait.process] = wait.sent_at
         return self.has_shown(wait.ended_at)
@@ -264,25 +266,30 @@
         Notes
         -----
         An answer to a request sent before the attempt was overdue proves little: the
-        upstream may have stood still since then. One that was slow and has recovered
-        gave slow answers, too.
+        upstream may have stood still since then. Slow answers show that it was slow.
         """
         if not self._is_overdue(wait):
             return False
         survival = self._settings.most_survival
         spread = self._find_spread(wait.route)
         overdue_at = wait.sent_at + spread.find_time_s(survival, wait.expected_s)
-        later = [
-            item
-            for item in self._answers.get(wait.process, ())
-            if item[0] > wait.sent_at
-        ]
-        ordinary = [sent_at for sent_at, is_ordinary in later if is_ordinary]
+        later = self._list_answers_after(wait)
         is_proved = any(
             overdue_at <= sent_at <= wait.sent_at + self._settings.confirm_s
-            for sent_at in ordinary
+            for sent_at, _ in later
         )
-        return is_proved and 2 * len(ordinary) > len(later)
+        return is_proved and all(is_ordinary for _, is_ordinary in later)
+
+    def _list_answers_after(self, wait: Wait) -> list[tuple[float, bool]]:
+        answers = self._answers.get(wait.process, ())
+        return [item for item in answers if item[0] > wait.sent_at]
+
+    def _record_overtaken(self, wait: Wait) -> None:
+        """Record a silence, unless the same answers have shown one before."""
+        latest = max(sent_at for sent_at, _ in self._list_answers_after(wait))
+        if latest > self._shown_by.get(wait.process, -inf):
+            self._shown_by[wait.process] = latest
+            self.record_shown(wait.ended_at)
 
     def record_shown(self, now: float) -> None:
         """Record that an upstream of the service was seen to fall silent."""
@@ -293,6 +300,7 @@
         """Drop what is suspected of a process that has ended."""
         self._suspected.pop(process, None)
         self._answers.pop(process, None)
+        self._shown_by.pop(process, None)
 
     def choose_limit_s(self, route: str, expected_s: float, now: float) -> float:
         """
--- a/packages/core/plantaincart_core/tests/test_accountquota.py
+++ b/packages/core/plantaincart_core/tests/test_accountquota.py
@@ -147,7 +147,9 @@
             at, name, shares, asked_at, led = answer
             if at > self.now or name in self.frozen:
                 waiting.append(answer)
-            elif not self.quotas[name].is_late(asked_at, self.now):
+            elif self.quotas[name].is_late(asked_at, self.now):
+                self.quotas[name].record_late(asked_at)
+            else:
                 self.heard[name] = max(self.heard[name], asked_at)
                 self.quotas[name].apply(shares, asked_at, led)
         self.answers = waiting
@@ -431,6 +433,19 @@
     assert passed >= 0.8 * rate * (fleet.now - began_at)
 
 
+def test_slow_messages_for_minutes_refuse_no_account_entirely():
+    """A network that stays slow for longer than lost instances are remembered."""
+    fleet = Fleet(5, [make_account(rate=10.0)])
+    fleet.run(5.0, {})
+    fleet.delay = lambda: (0.3, 0.3)
+    fleet.run(110.0, {"depot": 6.0})
+    before = len(fleet.passed["depot"])
+    fleet.run(40.0, {"depot": 6.0})
+    fleet.check()
+    # An instance that is alone has a fifth of the rate, a third more than is asked.
+    assert len(fleet.passed["depot"]) - before >= 0.75 * 40.0 * 6.0
+
+
 PHASES = (Phase.explicit, Phase.generate)
 DELAYS_S = (0.01, 0.05, 0.2, 0.45, 0.6, 1.0, 2.0)
 # Delays of a report and of its answer, one after the other.
--- a/packages/core/plantaincart_core/tests/test_silence.py
+++ b/packages/core/plantaincart_core/tests/test_silence.py
@@ -110,6 +110,28 @@
     assert not silence.has_shown(2.0)
 
 
+def test_slow_answers_during_an_attempt_leave_it_unproved():
+    """Pattern srv_slow that ends, with more answers after it than before."""
+    silence = ServiceSilence(SilenceSettings())
+    record_ordinary(silence, 200, Random(2))
+    for at in (0.1, 0.2):
+        silence.record_answer(make_wait(1.1, at))
+    for at in (1.3, 1.4, 1.6):
+        silence.record_answer(make_wait(EXPECTED_S, at))
+    silence.record_unanswered(make_wait(2.0, 0.0))
+    assert silence.count_shown(2.0) == 0.0
+
+
+def test_one_answer_shows_one_silence():
+    """Two attempts at one process, and a single answer during both."""
+    silence = ServiceSilence(SilenceSettings())
+    record_ordinary(silence, 200, Random(2))
+    silence.record_answer(make_wait(EXPECTED_S, 1.6))
+    for start in (0.0, 0.1):
+        silence.record_unanswered(make_wait(2.0, start))
+    assert not silence.has_shown(2.1)
+
+
 def test_most_repeats_are_needed():
     """Load 1.7 times the room: repeats must not add more runs than were lost."""
     for share in (0.03, 0.1, 0.25):
--- a/packages/router/plantaincart_router/direct/accountfact.py
+++ b/packages/router/plantaincart_router/direct/accountfact.py
@@ -116,6 +116,7 @@
         if not 0.0 < notice.accounts_at <= received_at:
             return
         if self.quotas.is_late(notice.accounts_at, received_at):
+            self.quotas.record_late(notice.accounts_at)
             self._log_late(received_at - notice.accounts_at, received_at)
             return
         self._heard_at = max(self._heard_at, notice.accounts_at)
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -108,8 +108,16 @@
 
     @property
     def has_failing(self) -> bool:
-        """Whether the last two calls to any process failed."""
-        return any(count > 1 for count in self._failure_counts.values())
+        """
+        Whether the last two calls to a process failed that is still called.
+
+        Owners are called within the duration of a grant.
+        """
+        since = monotonic() - self._settings.hold_s
+        return any(
+            count > 1 and self._failed_at[process] >= since
+            for process, count in self._failure_counts.items()
+        )
 
     @property
     def connected_at(self) -> float:
