--- a/packages/core/plantaincart_core/tests/test_accountquota.py
+++ b/packages/core/plantaincart_core/tests/test_accountquota.py
@@ -442,8 +442,8 @@
     before = len(fleet.passed["depot"])
     fleet.run(40.0, {"depot": 6.0})
     fleet.check()
-    # An instance that is alone has a fifth of the rate, a third more than is asked.
-    assert len(fleet.passed["depot"]) - before >= 0.75 * 40.0 * 6.0
+    # Requests within the quota: the target is that 0.95 of them are served.
+    assert len(fleet.passed["depot"]) - before >= 0.95 * 40.0 * 6.0
 
 
 PHASES = (Phase.explicit, Phase.generate)
