--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -45,8 +45,9 @@
             raise CannotRunError("the routers aren't ready after 12 s")
         status = int(await play(system, lines))
         lines.append(f"{rule} {'is broken' if status else 'held'}")
-    except CannotRunError as error:
-        lines.append(f"could not run: {error}")
+    except Exception as error:
+        status = 2
+        lines.append(f"could not run: {error!r}")
     finally:
         ended = [f"{name} at {at} s with {code}" for at, name, code in system.exits]
         lines.append(f"routers that ended: {', '.join(ended) or 'none'}")
--- a/review/standin/endpoint.py
+++ b/review/standin/endpoint.py
@@ -7,7 +7,8 @@
 
 KEYS = 65536
 HEARTBEAT_S = 0.87
-SLOTS = 3
+SLOTS = 2
+QUEUE = 4
 
 
 class Endpoint:
@@ -29,6 +30,7 @@
         self._running = {}
         self._ended = asyncio.Event()
         self._slots = asyncio.Semaphore(SLOTS)
+        self._present = 0
         self.work_s = 0.04
 
     def announcement(self):
@@ -101,6 +103,17 @@
     async def _run(self, method, target, headers, body):
         attempt = headers.get("plantaincart-attempt-id", "")
         echo = {"Plantaincart-Attempt-Id": attempt}
+        if self._present >= SLOTS + QUEUE:
+            # As on the pages' example of an endpoint that sheds: without an id.
+            self._log("shed", endpoint=self.id, attempt=attempt)
+            return 503, {"Plantaincart-Not-Executed": "1"}, b""
+        self._present += 1
+        try:
+            return await self._queue_and_run(method, headers, attempt, echo)
+        finally:
+            self._present -= 1
+
+    async def _queue_and_run(self, method, headers, attempt, echo):
         async with self._slots:
             key = int(headers.get("plantaincart-shard-key", "-1"))
             if self._sharded and self._until[key] <= time.monotonic():
--- a/review/standin/system.py
+++ b/review/standin/system.py
@@ -28,7 +28,9 @@
     8080,
 )
 ZONES = ["svea-a", "svea-b"]
-SERVICE, HOST = "huvo11a", "ficu95.example"
+SHARDED, PLAIN, HOST = "huvo11a", "wuno96b", "ficu95.example"
+ROUTES = {"look": SHARDED, "file": SHARDED, "check": PLAIN, "pay": PLAIN}
+SAFE_ROUTES = ("look", "check")
 # Settings as on the pages' example of a machine.
 BOUNDS = {
     "drainMs": 2000,
@@ -72,7 +74,7 @@
     start.
     """
 
-    def __init__(self, routers=3, endpoints=6):
+    def __init__(self, routers=3, sharded=6, plain=0, doubles=None):
         self.events = []
         self.started_at = time.monotonic()
         self.network = choose_network()
@@ -85,7 +87,8 @@
         self.processes = {}
         self.wanted = set()
         self.endpoints = {}
-        self._count = endpoints
+        self._services = [SHARDED] * sharded + [PLAIN] * plain
+        self._doubles = doubles
         self._tasks = []
         self._servers = []
         self.exits = []
@@ -115,19 +118,20 @@
         host = f"{self.network}.1"
         self._servers.append(await serve(host, STORE_PORT, self.store.handle))
         self.store.change([("op", "config", json.dumps(make_configuration()).encode())])
-        for i in range(self._count):
+        for i, service in enumerate(self._services):
             endpoint = Endpoint(
                 f"i-{random.getrandbits(40):010x}",
-                SERVICE,
+                service,
                 ZONES[i % 2],
                 f"{self.network}.{31 + i}",
                 ENDPOINT_PORT,
                 self.store,
                 self.log,
-                True,
+                service == SHARDED,
             )
+            doubles = self._bind_doubles(endpoint)
             self._servers.append(
-                await serve(endpoint.host, endpoint.port, endpoint.handle)
+                await serve(endpoint.host, endpoint.port, endpoint.handle, doubles)
             )
             self.endpoints[endpoint.id] = endpoint
             self._tasks.append(asyncio.create_task(endpoint.announce()))
@@ -135,6 +139,11 @@
             self.start_router(name)
         self._tasks.append(asyncio.create_task(self._keep_running()))
 
+    def _bind_doubles(self, endpoint):
+        if self._doubles is None:
+            return None
+        return lambda target, answer: self._doubles(self, endpoint, target, answer)
+
     def start_router(self, name):
         """Start a router with the command of the deploy file."""
         host = self.hosts[name]
@@ -220,12 +229,12 @@
             await asyncio.sleep(0.2)
         return False
 
-    async def send(self, method="GET", key=None, name=None, deadline_ms=2000):
+    async def send(self, route, key=None, name=None, deadline_ms=2000):
         """Send one request to a router, and record what became of it."""
+        method = "GET" if route in SAFE_ROUTES else "POST"
         name = name or random.choice(self.names)
         key = random.randrange(65536) if key is None else key
         attempt = f"{random.getrandbits(64):016x}"
-        prefix = "look" if method == "GET" else "file"
         headers = {
             "Host": HOST,
             "Plantaincart-Attempt-Id": attempt,
@@ -237,7 +246,7 @@
             self.hosts[name],
             FRONT,
             method,
-            f"/{prefix}/2f",
+            f"/{route}/2f",
             headers,
             b"" if method == "GET" else b"{}",
             timeout_s=deadline_ms / 1000 + 1.0,
@@ -246,13 +255,13 @@
         self.log("answered", attempt=attempt, status=status)
         return status
 
-    async def load(self, seconds, per_s=40.0):
-        """Send requests at a rate, half of them unsafe, and wait for their answers."""
+    async def load(self, seconds, per_s=40.0, routes=("file", "look")):
+        """Send requests at a rate, on the routes in turn, and await their answers."""
         end, tasks, number = time.monotonic() + seconds, set(), 0
         started_at = time.monotonic()
         while time.monotonic() < end:
-            method = "GET" if number % 2 else "POST"
-            tasks.add(asyncio.create_task(self.send(method)))
+            route = routes[number % len(routes)]
+            tasks.add(asyncio.create_task(self.send(route)))
             number += 1
             await asyncio.sleep(
                 max(0.0, started_at + number / per_s - time.monotonic())
@@ -299,8 +308,7 @@
 
 
 def make_configuration():
-    """Return a desired state with a safe and an unsafe route to a keyed service."""
-    routes = [("look", "safe", 2), ("file", "unsafe", 1)]
+    """Return a desired state with safe and unsafe routes to two services."""
     resources = [
         {
             "entryKind": "routes",
@@ -308,15 +316,15 @@
             "spec": {
                 "host": HOST,
                 "prefix": f"/{name}/",
-                "kind": kind,
+                "kind": "safe" if name in SAFE_ROUTES else "unsafe",
                 "timeoutMs": 2000,
                 "targetLatencyMs": 600,
-                "priority": priority,
-                "service": SERVICE,
+                "priority": 1,
+                "service": service,
                 "maxAttempts": 2,
             },
         }
-        for name, kind, priority in routes
+        for name, service in ROUTES.items()
     ]
     service = {
         "healthPath": "/health",
@@ -325,20 +333,20 @@
         "tls": False,
         "warmupS": 3.0,
         "warmupPerS": 3.1,
-        "sharded": True,
-        "warmS": 3.0,
-        "grants": "unary",
     }
+    own_keys = {"sharded": True, "warmS": 3.0, "grants": "unary"}
     limits = {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 67108864,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     }
-    resources.append(
-        {"entryKind": "services", "metadata": {"name": SERVICE}, "spec": service}
-    )
-    resources.append({"entryKind": "limits", "metadata": {}, "spec": limits})
+    for kind, name, spec in (
+        ("services", SHARDED, service | own_keys),
+        ("services", PLAIN, service),
+        ("limits", "", limits),
+    ):
+        resources.append({"entryKind": kind, "metadata": {"name": name}, "spec": spec})
     return {"version": "r7", "resources": resources}
 
 
--- a/review/standin/wire.py
+++ b/review/standin/wire.py
@@ -36,24 +36,30 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-async def serve(host, port, handle):
+async def serve(host, port, handle, doubles=None):
     """
     Serve requests.
 
-    `handle(method, target, headers, body)` returns (status, headers, body). Its task is
-    cancelled when the connection ends.
+    `handle(method, target, headers, body)` returns (status, headers, body). If
+    `doubles(target, answer)` is true, a second copy of the answer is sent late, at the
+    point where the next answer on the connection is expected.
     """
 
     async def run(reader, writer):
+        late_copy = b""
         try:
             while True:
                 message = await read_message(reader)
                 if message is None:
                     return
+                writer.write(late_copy)
                 method, target, _ = message[0].split(" ", 2)
                 answer = await handle(method, target, message[1], message[2])
-                writer.write(encode_answer(*answer))
+                data = encode_answer(*answer)
+                writer.write(data)
                 await writer.drain()
+                is_doubled = doubles is not None and doubles(target, answer)
+                late_copy = data if is_doubled else b""
         except (ConnectionError, ValueError):
             return
         finally:
