--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,100 +1,52 @@
-"""Late second copies of answers to grants, while a zone is evacuated."""
+"""An entry of another writer that can't be read, then a restart of all routers."""
 
 import asyncio
 import sys
 
 from standin.case import TROUBLE, run_case
-from standin.garble import LateCopies
-from standin.system import ZONES, CannotRunError
+from standin.endpoint import HEARTBEAT_S
+from standin.system import CannotRunError
 
-# The evacuations, and for how long before each an endpoint has sent copies at most.
-EVACUATIONS_S = (16.0, 27.0, 38.0, 49.0, 60.0, 71.0, 82.0)
-GARBLE_BEFORE_S, COPIES_BEFORE_S, EVACUATED_S, END_S = 5.3, 0.35, 4.5, 92.0
-PER_S, WORK_S = 20.0, 0.35
+# Bytes that are no entry: 2,000 opening brackets, below the 65,536 bytes of a row.
+UNREADABLE = b"[" * 2000
+ENTRY_AT_S, KILL_AT_S, RECOVER_S, END_S = 14.0, 18.0, 15.0, 46.0
 
 
-def is_due(system, target):
-    """Whether an answer is that to a grant shortly before an evacuation."""
-    if not target.startswith("/plantaincart/grant"):
-        return False
-    return any(0.0 < at - system.now < COPIES_BEFORE_S for at in EVACUATIONS_S)
-
-
-async def evacuate(system, copies):
-    """Take one zone after the other out, for a time."""
-    for number, at in enumerate(EVACUATIONS_S):
-        zone = ZONES[number % len(ZONES)]
-        endpoints = [item for item in system.endpoints.values() if item.zone == zone]
-        others = [item for item in system.endpoints.values() if item.zone != zone]
-        await asyncio.sleep(at - GARBLE_BEFORE_S - system.now)
-        if TROUBLE:
-            copies.start(system, endpoints + others)
-        await asyncio.sleep(at - system.now)
-        system.store.change([("op", f"evacuate/{zone}", b"{}")])
-        system.log("evacuated", zone=zone)
-        await asyncio.sleep(at + EVACUATED_S - system.now)
-        system.store.change([], [("op", f"evacuate/{zone}")])
-        system.log("taken-back", zone=zone)
-
-
-def find_grants_under_work(events):
-    """Find grants of keys on which another endpoint works whose hold lasts."""
-    found, running, holds = [], {}, []
-    for event in events:
-        if event["kind"] == "run":
-            running[event["attempt"], event["endpoint"]] = event
-        elif event["kind"] == "ran":
-            running.pop((event["attempt"], event["endpoint"]), None)
-        elif event["kind"] == "grant":
-            for run in running.values():
-                if run["endpoint"] == event["endpoint"]:
-                    continue
-                if not event["first"] <= run["key"] <= event["last"]:
-                    continue
-                until = max(
-                    (
-                        hold["until"]
-                        for hold in holds
-                        if hold["endpoint"] == run["endpoint"]
-                        and hold["first"] <= run["key"] <= hold["last"]
-                    ),
-                    default=0.0,
-                )
-                if until > event["at"]:
-                    found.append((event, run, until))
-            holds.append(event)
-    return found
+async def write_unreadable(system):
+    """Write the entry at each heartbeat, as endpoints do, so that it stays."""
+    while True:
+        system.store.change([("servers", "i-0000other0", UNREADABLE)])
+        system.log("entry-written", key="i-0000other0", bytes=len(UNREADABLE))
+        await asyncio.sleep(HEARTBEAT_S)
 
 
 async def play(system, lines):
-    """Return whether keys were granted on which another endpoint was at work."""
-    for endpoint in system.endpoints.values():
-        endpoint.work_s = WORK_S
-    copies.system = system
-    load = asyncio.gather(
-        system.load(END_S - system.now, PER_S), evacuate(system, copies)
-    )
+    """Return whether less than a quarter is served after the restart."""
+    load = asyncio.create_task(system.load(END_S - system.now))
+    await asyncio.sleep(ENTRY_AT_S - system.now)
+    writer = asyncio.create_task(write_unreadable(system)) if TROUBLE else None
+    await asyncio.sleep(KILL_AT_S - system.now)
+    for name in system.names:
+        system.kill_router(name)
     await load
-    before = system.count_served(EVACUATIONS_S[0] - 5.0, EVACUATIONS_S[0])
-    found = find_grants_under_work(system.events)
+    if writer is not None:
+        writer.cancel()
+    back = max(e["at"] for e in system.events if e["kind"] == "router-started")
+    before = system.count_served(KILL_AT_S - 4.0, KILL_AT_S)
+    after = system.count_served(back + RECOVER_S, END_S)
+    ready = [await system.is_ready(name) for name in system.names]
     lines += [
-        f"served of those sent in the 5 s before: {before[1]} of {before[0]}",
-        f"answers with a late copy: {copies.describe()}",
-        f"grants of keys on which another endpoint was at work: {len(found)}",
+        f"served of those sent in the 4 s before the final fault: {before[1]} of "
+        f"{before[0]}",
+        f"all routers are back at {back:.1f} s",
+        f"served of those sent later than {RECOVER_S} s after that: {after[1]} of "
+        f"{after[0]}",
+        f"routers ready at the end: {sum(ready)} of {len(ready)}",
     ]
-    lines += [
-        f"  {grant['at']:.3f} s: {grant['endpoint']} is granted {grant['first']} to "
-        f"{grant['last']}; {run['endpoint']} runs {run['attempt']} with key "
-        f"{run['key']} since {run['at']:.3f} s, its hold lasts until {until:.2f} s"
-        for grant, run, until in found[:10]
-    ]
-    if before[1] * 4 < before[0] * 3:
-        raise CannotRunError("too few requests were served before")
-    return bool(found)
-
-
-copies = LateCopies(lambda target, answer: is_due(copies.system, target))
+    if not after[0] or before[1] * 4 < before[0]:
+        raise CannotRunError("too few requests were served before the fault")
+    return after[1] * 4 < after[0]
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(__file__, "OWNER", play, doubles=copies))
+    sys.exit(run_case(__file__, "RECOVER", play))
