--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,7 @@
 # Plays the case; TROUBLE=0 leaves out the entry of the other writer.
 cd "$(dirname "$0")" || exit 2
 export PYTHONPATH=.. PYTHONDONTWRITEBYTECODE=1
-exec timeout 118 python3 case.py
+timeout 118 python3 case.py
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,19 +7,18 @@
 from standin.garble import LateCopies
 from standin.system import ZONES, CannotRunError
 
-# The evacuations, and for how long before each an endpoint has sent copies at most.
+# The evacuations, for how long before each late copies may come, and how long around
+# its begin those come that are chosen.
 EVACUATIONS_S = (16.0, 27.0, 38.0, 49.0, 60.0, 71.0, 82.0)
-GARBLE_BEFORE_S, COPIES_AFTER_S, EVACUATED_S, END_S = 5.0, 0.15, 4.5, 92.0
-PER_S, WORK_S = 20.0, 0.35
+GARBLE_BEFORE_S, COPIES_AROUND_S, EVACUATED_S, END_S = 5.0, 0.4, 4.5, 92.0
+PER_S, WORK_S = 15.0, 0.6
 
 
 def is_due(system, target):
-    """Whether an answer is that to a grant at the begin of an evacuation."""
+    """Whether an answer is that to a grant around the begin of an evacuation."""
     if not target.startswith("/plantaincart/grant"):
         return False
-    return any(
-        abs(system.now - at - COPIES_AFTER_S) < COPIES_AFTER_S for at in EVACUATIONS_S
-    )
+    return any(abs(system.now - at) < COPIES_AROUND_S for at in EVACUATIONS_S)
 
 
 async def evacuate(system, copies):
--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from pathlib import Path
+from signal import SIGTERM
 
 from standin.system import CannotRunError, System
 
@@ -32,10 +33,17 @@
     int
         Exit status: 1 if the rule is broken, 0 if it held, 2 if the case couldn't run.
     """
-    return asyncio.run(_run(Path(file).with_name("record.txt"), rule, play, size))
+    record = Path(file).with_name("record.txt")
+    try:
+        return asyncio.run(_run(record, rule, play, size))
+    except asyncio.CancelledError:
+        return 2
 
 
 async def _run(record, rule, play, size):
+    # A case that is ended from outside ends its processes, too.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(SIGTERM, task.cancel)
     lines = [f"TROUBLE={int(TROUBLE)}"]
     system = System(**size)
     status = 2
