--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -16,7 +16,7 @@
         self.rows = {}
         self.version = 0
         self._changed = asyncio.Event()
-        self.kept_at = {}
+        self.is_busy = False
 
     def change(self, writes, deletes=()):
         """Apply writes of (table, key, bytes) and deletes of (table, key)."""
@@ -52,6 +52,8 @@
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         await asyncio.sleep(0.003)
+        if self.is_busy:
+            return 503, {}, b""
         if url.path == "/plantaincart/rows-tx":
             return self._transact(json.loads(body))
         if url.path == "/plantaincart/rows-get":
@@ -78,6 +80,8 @@
         table, after = query["table"], int(query["after"])
         end = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
+            if self.is_busy:
+                return 503, {}, b""
             rows = self.list_rows(table, deleted=True, after=after)
             left = end - time.monotonic()
             if rows or left <= 0:
--- a/review/standin/system.py
+++ b/review/standin/system.py
@@ -74,7 +74,7 @@
     start.
     """
 
-    def __init__(self, routers=3, sharded=6, plain=0, doubles=None):
+    def __init__(self, routers=3, sharded=6, plain=0):
         self.events = []
         self.started_at = time.monotonic()
         self.network = choose_network()
@@ -88,8 +88,6 @@
         self.wanted = set()
         self.endpoints = {}
         self._services = [SHARDED] * sharded + [PLAIN] * plain
-        self._doubles = doubles
-        self._doubles_of = {}
         self._lives = {}
         self._tasks = []
         self._servers = []
@@ -131,21 +129,14 @@
                 self.log,
                 service == SHARDED,
             )
-            doubles = self._bind_doubles(endpoint)
             self.endpoints[endpoint.id] = endpoint
-            self._doubles_of[endpoint.id] = doubles
             await self._start_endpoint(endpoint)
         for name in self.names:
             self.start_router(name)
         self._tasks.append(asyncio.create_task(self._keep_running()))
 
     async def _start_endpoint(self, endpoint):
-        server = await serve(
-            endpoint.host,
-            endpoint.port,
-            endpoint.handle,
-            self._doubles_of[endpoint.id],
-        )
+        server = await serve(endpoint.host, endpoint.port, endpoint.handle)
         self._lives[endpoint.id] = server, asyncio.create_task(endpoint.announce())
 
     async def restart_endpoint(self, endpoint, down_s):
@@ -159,11 +150,6 @@
         self.log("restarted", endpoint=endpoint.id, born=endpoint.born)
         await self._start_endpoint(endpoint)
 
-    def _bind_doubles(self, endpoint):
-        if self._doubles is None:
-            return None
-        return lambda target, answer: self._doubles(self, endpoint, target, answer)
-
     def start_router(self, name):
         """Start a router with the command of the deploy file."""
         host = self.hosts[name]
@@ -214,6 +200,30 @@
             process.wait()
         self.log("router-killed", router=name)
 
+    def stop_router(self, name):
+        """Stop a router as planned; the platform starts it again after its end."""
+        self.processes[name].send_signal(signal.SIGTERM)
+        self.log("router-stopping", router=name)
+
+    async def find_coordinators(self):
+        """Return the routers whose metrics say that they are the coordinator."""
+        found = []
+        for name, host in self.hosts.items():
+            answer = await call(host, METRICS, "GET", "/metrics", {"Host": "metrics"})
+            if answer and b"\nplantaincart_coordinator 1" in answer[2]:
+                found.append(name)
+        return found
+
+    async def cut_endpoint(self, endpoint, seconds):
+        """Partition an endpoint from all routers; its process and its holds go on."""
+        server, announcing = self._lives[endpoint.id]
+        server.end()
+        self.log("cut-off", endpoint=endpoint.id)
+        await asyncio.sleep(seconds)
+        server = await serve(endpoint.host, endpoint.port, endpoint.handle)
+        self._lives[endpoint.id] = server, announcing
+        self.log("reached-again", endpoint=endpoint.id)
+
     async def _keep_running(self):
         while True:
             await asyncio.sleep(0.1)
--- a/review/standin/wire.py
+++ b/review/standin/wire.py
@@ -36,32 +36,25 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-async def serve(host, port, handle, doubles=None):
+async def serve(host, port, handle):
     """
     Serve requests.
 
-    `handle(method, target, headers, body)` returns (status, headers, body). If
-    `doubles(target, answer)` is true, a second copy of the answer is sent late, at the
-    point where the next answer on the connection is expected.
+    `handle(method, target, headers, body)` returns (status, headers, body).
     """
     writers = set()
 
     async def run(reader, writer):
-        late_copy = b""
         writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
                 if message is None:
                     return
-                writer.write(late_copy)
                 method, target, _ = message[0].split(" ", 2)
                 answer = await handle(method, target, message[1], message[2])
-                data = encode_answer(*answer)
-                writer.write(data)
+                writer.write(encode_answer(*answer))
                 await writer.drain()
-                is_doubled = doubles is not None and doubles(target, answer)
-                late_copy = data if is_doubled else b""
         except (ConnectionError, ValueError):
             return
         finally:
