Let a coordinator act without the store only while most electors follow it

Cause: a coordinator that the store doesn't answer took the members that it still heard for all, concluded an outage from their word and went on for up to 30 s, while on the other side a successor was claimed, which counted on its end after 2 s. Each side alone was right for the case that it assumed; no set of instances told the two cases apart.

Without the store a term is valid only while most of them follow: an elector counts for 1.5 s after the notice that its last report names was sent. A successor takes earlier grants for expired when so many electors have reported how long ago they heard an earlier coordinator, which they don't follow any more, that the rest is no majority, and otherwise after the 30 s for which a term may last at most. Any two such sets have an elector in common, whoever is lost or cut off. Electors change only with a write that the store has confirmed, after all earlier terms have ended; processes started since don't count.

Ruled out: asking all members that were known ends the keyed service wherever one instance is lost in an outage; counting on upstreams that refuse later tokens needs two that both sides reach.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -18,10 +18,11 @@
 from plantaincart_router.direct.interface import GrantCalls
 from plantaincart_router.direct.membership import Membership
 from plantaincart_router.direct.noticewriter import NoticeWriter, make_change
-from plantaincart_router.direct.ownershiptable import OwnershipTable, PreviousTerm
+from plantaincart_router.direct.ownershiptable import OwnershipTable
 from plantaincart_router.direct.ownershipwriter import OwnershipWriter
 from plantaincart_router.direct.placement import ServicePlacement
 from plantaincart_router.direct.placements import Placements
+from plantaincart_router.direct.previousterm import PreviousTerm
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import Store, StoreUnavailableError
 from plantaincart_router.direct.term import Term
@@ -70,11 +71,8 @@
         Sends a notice to the member with a given name.
     feeds : sequence of TableFeed
         Feeds of the tables whose changes this instance relays to the members.
-    previous_renewed_at : float
-        Latest time in seconds at which the previous coordinator can have renewed its
-        term.
-    previous_grant_duration_s : float
-        Grant duration that the previous coordinator may have used.
+    previous_term : PreviousTerm
+        Tells when the terms of earlier coordinators have ended.
 
     Attributes
     ----------
@@ -84,9 +82,8 @@
     Notes
     -----
     `Term` decides how long the term lasts. The previous coordinator may still send
-    grants for `confirmed_s` after the takeover. An upstream that doesn't answer a
-    release is therefore taken to own its keys until the last of those grants has
-    expired.
+    grants after the takeover. An upstream that doesn't answer a release is therefore
+    taken to own its keys until the last of those grants has expired.
 
     A store that was restored may have lost the latest ownership rows. A coordinator
     whose term goes on writes them again before its next move. One that has just been
@@ -107,8 +104,7 @@
         claimed_at: float,
         notify: Callable[[str, CoordinatorNotice], None],
         feeds: Sequence[TableFeed],
-        previous_renewed_at: float,
-        previous_grant_duration_s: float,
+        previous_term: PreviousTerm,
     ) -> None:
         self._settings = settings
         self._times = settings.coordination
@@ -143,6 +139,7 @@
             era,
             claimed_at,
             self._members,
+            previous_term.has_ended,
             self.end,
             self._handle_confirmed,
             self._handle_reclaimed,
@@ -155,9 +152,7 @@
             self._members,
             self._resign_without_upstreams,
         )
-        self._previous_term = PreviousTerm(
-            renewed_at=previous_renewed_at, grant_duration_s=previous_grant_duration_s
-        )
+        self._previous_term = previous_term
         self._ownership_table = OwnershipTable(
             self._times,
             view,
@@ -202,7 +197,7 @@
     @property
     def last_earlier_expiry(self) -> float:
         """Time in seconds by which all grants of the previous term have expired."""
-        return self._previous_term.find_last_expiry(self._times)
+        return self._previous_term.find_last_expiry()
 
     @property
     def _placements(self) -> dict[str, ServicePlacement]:
@@ -282,6 +277,9 @@
             self.end("a member reports a later epoch")
             return
         member = self._members.record_report(report, monotonic())
+        self._term.record_report(report)
+        if report.heard_epoch == self.epoch:
+            self._previous_term.record_left(report.member, report.earlier_silent_s)
         for upstream, born in report.leaving_upstreams.items():
             self._view.record_leaving(upstream, born)
         self._placement_group.record_report(report)
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -32,6 +32,7 @@
     pack_notice,
     unpack_notice,
 )
+from plantaincart_router.direct.previousterm import PreviousTerm
 from plantaincart_router.direct.probe import StoreProbe
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.store import StoreUnavailableError
@@ -99,6 +100,10 @@
         self._term = TermWatch(self._times, platform.store)
         self._row_read_failed = False
         self._last_notice_at = 0.0
+        self._heard_epoch, self._heard_at = 0, 0.0
+        # Boot times at which this instance last heard the coordinator, and the earlier
+        # ones; an earlier process may have heard them until this one was started.
+        self._last_heard_at = self._earlier_heard_at = read_boot_time()
         self._connected_at = 0.0
         self._coordinator_resigned = False
         self._resigned_epoch = 0
@@ -174,6 +179,7 @@
             if self.coordinator.is_cut_off:
                 self._cut_off_until = monotonic() + CUT_OFF_MEMORY_S
             self.coordinator = None
+            self._earlier_heard_at = read_boot_time()
             self._term.forget()
             self._coordinator_resigned = False
         self._report()
@@ -225,6 +231,10 @@
             or self._is_coordinator_silent()
         )
 
+    @property
+    def _known_epoch(self) -> int:
+        return max(self._view.epoch, self._term.known_epoch, self._heard_epoch)
+
     def _inquire(self) -> None:
         """Ask other instances for the coordinator, while the store doesn't tell."""
         interval_s = INQUIRY_REPORTS * self._times.report_s
@@ -239,7 +249,7 @@
             member=self._settings.name,
             incarnation=self._incarnation,
             address=self._peer_address(self._settings),
-            epoch=max(self._view.epoch, self._term.known_epoch),
+            epoch=self._known_epoch,
             map_version=0,
             store_silent_s=-1.0,
             inquires=True,
@@ -260,9 +270,8 @@
 
     def _adopt_answer(self, term: CoordinatorRow) -> None:
         """Follow a coordinator that another instance has named."""
-        known_epoch = max(self._view.epoch, self._term.known_epoch)
         is_own = term.holder == self._settings.name
-        if not self._lacks_coordinator or is_own or term.epoch <= known_epoch:
+        if not self._lacks_coordinator or is_own or term.epoch <= self._known_epoch:
             return
         write_event("coordinator_told", holder=term.holder, epoch=term.epoch)
         self._term.adopt(term)
@@ -278,6 +287,7 @@
         if not await self._wait_for_better_candidates():
             return
         claimed_at = read_boot_time()
+        replaced_row = self._term.row
         row = await self._term.claim(
             self._settings.name, self._peer_address(self._settings), self._view.epoch
         )
@@ -285,6 +295,7 @@
             return
         self._coordinator_resigned = False
         self._disconnect()
+        self._leave_earlier_coordinator()
         self.coordinator = Coordinator(
             self._settings,
             self._view,
@@ -296,13 +307,30 @@
             claimed_at,
             self._notify,
             self.feeds,
-            # In an outage the coordinator acts although its row doesn't change.
-            previous_renewed_at=max(self._term.changed_at, self._outage_notice_at),
-            previous_grant_duration_s=self._estimate_previous_grant_duration_s(),
+            self._describe_previous_term(replaced_row),
         )
         self.coordinator.start()
         self._report()
 
+    def _describe_previous_term(self, row: CoordinatorRow | None) -> PreviousTerm:
+        renewed_at = self._term.changed_at
+        if row is None or not row.electors:
+            # A coordinator of an earlier build acts in an outage although its row
+            # doesn't change, and names no electors who would know it.
+            renewed_at = max(renewed_at, self._outage_notice_at)
+        previous_term = PreviousTerm(
+            self._times, row, renewed_at, self._estimate_previous_grant_duration_s()
+        )
+        previous_term.record_left(self._settings.name, self._measure_earlier_silence())
+        return previous_term
+
+    def _leave_earlier_coordinator(self) -> None:
+        self._earlier_heard_at = max(self._earlier_heard_at, self._last_heard_at)
+
+    def _measure_earlier_silence(self) -> float:
+        """Return the seconds since a coordinator before the present one was heard."""
+        return read_boot_time() - self._earlier_heard_at
+
     async def _wait_for_better_candidates(self) -> bool:
         """
         Wait for candidates that reach upstreams or have more resources.
@@ -353,6 +381,7 @@
 
     def _connect(self, row: CoordinatorRow) -> None:
         self._disconnect()
+        self._leave_earlier_coordinator()
         write_event("coordinator_known", holder=row.holder, epoch=row.epoch)
         if self._is_own_earlier(row):
             return
@@ -386,6 +415,9 @@
             epoch=view.epoch,
             map_version=view.map_version,
             store_silent_s=self._probe.measure_silence(),
+            heard_epoch=self._heard_epoch,
+            heard_at=self._heard_at,
+            earlier_silent_s=self._measure_earlier_silence(),
             leaving=self._leaving,
             loads=view.key_demand.pop_loads(),
             refusing=view.key_demand.pop_refused(),
@@ -467,6 +499,8 @@
             self._term.defer_read()
             return
         self._last_notice_at = monotonic()
+        self._last_heard_at = read_boot_time()
+        self._heard_epoch, self._heard_at = notice.epoch, notice.sent_at
         self._handle_store_doubt(notice.doubt)
         if notice.hold_s > self._times.hold_s:
             self._long_grants_at = self._last_notice_at
--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -1,7 +1,7 @@
 """Grant and release calls, renewal of grants, and the latest expiry of grants."""
 
-from asyncio import Lock, Task, create_task, sleep, timeout
-from collections.abc import Callable, Iterator
+from asyncio import Lock, Task, create_task, sleep, wait
+from collections.abc import Callable, Iterable, Iterator
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
@@ -13,6 +13,7 @@
     GrantRefusedError,
     UpstreamDisplacedError,
 )
+from plantaincart_router.direct.previousterm import PreviousTerm
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.exception import AnswerMalformedError, ExchangeError
 from plantaincart_router.log import write_event
@@ -29,6 +30,8 @@
 # First and longest delay in seconds before a failed release is retried.
 FIRST_RETRY_DELAY_S = 0.15
 MAX_RETRY_DELAY_S = 0.6
+# Longest time in seconds between two looks at when earlier grants expire.
+EXPIRY_CHECK_INTERVAL_S = 0.1
 # Seconds for which a failing process isn't called again, for each failed call in a row,
 # and at most.
 PAUSE_S_PER_FAILURE = 0.4
@@ -66,8 +69,9 @@
 
     Notes
     -----
-    `grant_expiry` is the latest time at which a grant made here may still be valid at
-    an upstream. Calls of which no byte can have arrived don't extend it.
+    `grant_expiry` is the latest time at which a grant may still be valid at an
+    upstream, made here or by earlier coordinators. Calls of which no byte can have
+    arrived don't extend it.
     """
 
     def __init__(
@@ -85,6 +89,8 @@
         self._renewal_due_at: dict[tuple[str, int, int], float] = {}
         self._tasks: dict[tuple[str, int, int], Task[None]] = {}
         self._grant_expiries: dict[tuple[str, int], float] = {}
+        self._earlier_owners: set[tuple[str, int]] = set()
+        self._previous_term: PreviousTerm | None = None
         self._failure_counts: dict[tuple[str, int], int] = {}
         self._failed_at: dict[tuple[str, int], float] = {}
         self._locks: dict[tuple[str, int], Lock] = {}
@@ -134,15 +140,52 @@
         """Whether calls to nearly all upstreams have failed since the last answer."""
         return self.outcomes.seems_cut_off(self._list_owners())
 
+    def expect_earlier_grants(
+        self, processes: Iterable[tuple[str, int]], previous_term: PreviousTerm
+    ) -> None:
+        """
+        Expect that earlier coordinators have granted keys to some processes.
+
+        Parameters
+        ----------
+        processes : iterable of (str, int)
+            Upstream id and process start.
+        previous_term : PreviousTerm
+            Tells when these grants expire.
+        """
+        self._earlier_owners.update(processes)
+        self._previous_term = previous_term
+
     def grant_expiry(self, upstream: str, born: int) -> float:
         """Return the time by which all grants to a process have expired."""
-        return self._grant_expiries.get((upstream, born), 0.0)
+        own = self._grant_expiries.get((upstream, born), 0.0)
+        if self._previous_term is None or (upstream, born) not in self._earlier_owners:
+            return own
+        earlier = self._previous_term.find_last_expiry()
+        if earlier <= monotonic():
+            self._previous_term = None
+        return max(own, earlier)
+
+    def estimate_grant_expiry(self, upstream: str, born: int) -> float:
+        """Return the same if members report soon that earlier terms have ended."""
+        own = self._grant_expiries.get((upstream, born), 0.0)
+        if self._previous_term is None or (upstream, born) not in self._earlier_owners:
+            return own
+        return max(own, self._previous_term.estimate_last_expiry())
 
     def extend_grant_expiry(self, upstream: str, born: int, expires_at: float) -> None:
         """Record that grants to a process may be valid until a time."""
         previous = self._grant_expiries.get((upstream, born), 0.0)
         self._grant_expiries[upstream, born] = max(previous, expires_at)
 
+    async def wait_for_expiry(self, upstream: str, born: int) -> None:
+        """Wait until all grants to a process have expired."""
+        while True:
+            remaining_s = self.grant_expiry(upstream, born) - monotonic()
+            if remaining_s <= 0.0:
+                return
+            await sleep(min(remaining_s, EXPIRY_CHECK_INTERVAL_S))
+
     def is_failing(self, upstream: str, born: int) -> bool:
         """Whether the last two calls to a process failed."""
         return self._failure_counts.get((upstream, born), 0) > 1
@@ -222,7 +265,7 @@
         """
         duration_s = self.grant_duration_s
         process = (record.id, record.born)
-        previous_expiry = self.grant_expiry(*process)
+        previous_expiry = self._grant_expiries.get(process, 0.0)
         max_duration_s = duration_s * (1.0 + self._settings.clock_drift)
         margin_s = self._settings.call_timeout_s + self._settings.hold_margin_s
         try:
@@ -230,7 +273,7 @@
             async with self._locks.setdefault(process, Lock()):
                 if not self.may_call or (is_current is not None and not is_current()):
                     return False
-                previous_expiry = self.grant_expiry(*process)
+                previous_expiry = self._grant_expiries.get(process, 0.0)
                 self.extend_grant_expiry(
                     *process, monotonic() + max_duration_s + margin_s
                 )
@@ -240,6 +283,7 @@
         except UpstreamDisplacedError:
             # The process has ended, so its grants are void.
             self._grant_expiries[process] = 0.0
+            self._earlier_owners.discard(process)
             self.displaced_upstreams.append(record)
             raise
         except ExchangeError as error:
@@ -306,10 +350,9 @@
         while self.enabled:
             try:
                 if self.may_call:
-                    async with timeout(self._limit_release_time(record)):
-                        handover = await self._calls.release(record, key_range)
-                        self.outcomes.record_answer()
-                        return handover
+                    handover = await self._release_before_expiry(record, key_range)
+                    self.outcomes.record_answer()
+                    return handover
             except (ExchangeError, TimeoutError) as error:
                 write_event(
                     "release_failed",
@@ -326,12 +369,25 @@
             delay_s = min(MAX_RETRY_DELAY_S, delay_s * 2.0)
         return None
 
-    def _limit_release_time(self, record: UpstreamRecord) -> float | None:
-        """Return the seconds until the grants expire; None if no grant is known."""
-        grant_expiry = self._grant_expiries.get((record.id, record.born))
-        if grant_expiry is None:
-            return None
-        return max(grant_expiry - monotonic(), self._settings.call_timeout_s)
+    async def _release_before_expiry(
+        self, record: UpstreamRecord, key_range: KeyRange
+    ) -> str:
+        """Make one release call; give it up when the grants have expired."""
+        process, started_at = (record.id, record.born), monotonic()
+        is_granted = process in self._grant_expiries or process in self._earlier_owners
+        call = create_task(self._calls.release(record, key_range))
+        try:
+            while not call.done():
+                ends_at = max(
+                    self.grant_expiry(*process),
+                    started_at + self._settings.call_timeout_s,
+                )
+                if is_granted and monotonic() >= ends_at:
+                    raise TimeoutError
+                await wait({call}, timeout=EXPIRY_CHECK_INTERVAL_S)
+            return call.result()
+        finally:
+            call.cancel()
 
     async def renew(self) -> None:
         """Renew grants that are due until cancelled."""
--- a/packages/router/plantaincart_router/direct/membership.py
+++ b/packages/router/plantaincart_router/direct/membership.py
@@ -176,6 +176,12 @@
             if name != excluded and member.has_current_silence
         ]
 
+    def list_incarnations(self) -> dict[str, str]:
+        """Return the process of each member."""
+        return {
+            name: member.report.incarnation for name, member in self._members.items()
+        }
+
     def discard_store_silences(self) -> None:
         """Ignore what was reported about the store until the next reports."""
         for member in self._members.values():
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -64,6 +64,8 @@
     _check(0 < len(report.member) <= MAX_NAME_LENGTH, "name of the member")
     _check(report.epoch >= 0, "epoch")
     _check(isfinite(report.store_silent_s), "store_silent_s")
+    _check_range([report.heard_at], MAX_CLOCK_S, "heard_at")
+    _check(-1.0 <= report.earlier_silent_s <= MAX_CLOCK_S, "earlier_silent_s")
     for load in report.loads:
         _check_load(load)
     _check_range(report.in_flight.values(), MAX_COUNT, "in_flight")
@@ -124,6 +126,7 @@
     """
     _check(notice.epoch >= 0, "epoch")
     _check(notice.map_version >= 0, "map_version")
+    _check_range([notice.sent_at], MAX_CLOCK_S, "sent_at")
     _check_range([notice.members, notice.rank], MAX_COUNT, "members or rank")
     durations_s = [notice.hold_s, notice.removals_wait_s]
     durations_s += [change.free_in_s for change in notice.changes]
--- a/packages/router/plantaincart_router/direct/noticewriter.py
+++ b/packages/router/plantaincart_router/direct/noticewriter.py
@@ -11,6 +11,7 @@
     TableChange,
 )
 
+from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.maphistory import MapHistory
@@ -125,6 +126,7 @@
         return CoordinatorNotice(
             coordinator=self._term.holder,
             epoch=self._term.epoch,
+            sent_at=read_boot_time(),
             members=len(self._members),
             rank=self._members.find_rank(name),
             map_version=self.map_history.version,
--- a/packages/router/plantaincart_router/direct/ownershiptable.py
+++ b/packages/router/plantaincart_router/direct/ownershiptable.py
@@ -2,7 +2,6 @@
 
 from asyncio import Lock, sleep
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from time import monotonic
 
 from plantaincart_core.era import is_epoch_of_era
@@ -15,6 +14,7 @@
     encode_ownership,
 )
 from plantaincart_router.direct.placement import ServicePlacement
+from plantaincart_router.direct.previousterm import PreviousTerm
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.direct.store import (
     Store,
@@ -28,35 +28,14 @@
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.log import write_event
 
-__all__ = ["OWNERSHIP_TABLE", "OwnershipTable", "PreviousTerm"]
+__all__ = ["OWNERSHIP_TABLE", "OwnershipTable"]
 
 OWNERSHIP_TABLE = "ownership"
 
 # Seconds between two reads of the owners while the previous coordinator moves keys.
 REREAD_INTERVAL_S = 0.02
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PreviousTerm:
-    """
-    What a coordinator knows of its predecessor.
-
-    Parameters
-    ----------
-    renewed_at : float
-        Latest time in seconds at which it can have renewed its term.
-    grant_duration_s : float
-        Grant duration that it may have used.
-    """
-
-    renewed_at: float
-    grant_duration_s: float
-
-    def find_last_expiry(self, times: CoordinationSettings) -> float:
-        """Return the time by which all its grants have expired."""
-        expires_at = self.renewed_at + times.confirmed_s + times.call_timeout_s
-        expires_at += self.grant_duration_s * (1.0 + times.clock_drift)
-        return expires_at + times.hold_margin_s
+# Longest time in seconds between two looks at when earlier grants expire.
+EXPIRY_CHECK_INTERVAL_S = 0.1
 
 
 class OwnershipTable:
@@ -234,7 +213,7 @@
         """
         placement = self._add_placement(ownership.service)
         placement.resume(ownership)
-        self._extend_grant_expiries(ownership)
+        self._expect_earlier_grants(ownership)
         async with self._write_lock:
             await self._write_row(ownership.service, placement.describe_row)
 
@@ -243,12 +222,14 @@
     ) -> None:
         """Wait until grants that the rows don't show have expired."""
         era = self._term.era
-        wait_s = self._previous_term.find_last_expiry(self._times) - monotonic()
+        wait_s = self._previous_term.find_last_expiry() - monotonic()
         is_complete = all_readable and (era == 0 or self._covers_all_services(rows))
         if is_complete or wait_s <= 0.0:
             return
         write_event("unknown_grants_awaited", era=era, wait_s=round(wait_s, 2))
-        await sleep(wait_s)
+        while wait_s > 0.0:
+            await sleep(min(wait_s, EXPIRY_CHECK_INTERVAL_S))
+            wait_s = self._previous_term.find_last_expiry() - monotonic()
 
     def _covers_all_services(self, rows: Sequence[OwnershipRow]) -> bool:
         """Whether each keyed service has a row that was written in the present era."""
@@ -261,13 +242,7 @@
         }
         return keyed <= written
 
-    def _extend_grant_expiries(self, row: OwnershipRow) -> None:
-        expires_at = self._previous_term.find_last_expiry(self._times)
-        for key_range in row.ranges:
-            self._granter.extend_grant_expiry(
-                key_range.owner, key_range.born, expires_at
-            )
-            if key_range.previous:
-                self._granter.extend_grant_expiry(
-                    key_range.previous, key_range.previous_born, expires_at
-                )
+    def _expect_earlier_grants(self, row: OwnershipRow) -> None:
+        processes = {(stored.owner, stored.born) for stored in row.ranges}
+        processes |= {(stored.previous, stored.previous_born) for stored in row.ranges}
+        self._granter.expect_earlier_grants(processes, self._previous_term)
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -335,12 +335,17 @@
         Seconds per live instance by which this time is longer at the instances with the
         fewest resources. They are many in large fleets, and others claim the term.
     offline_s : float
-        The same as `confirmed_s` while no instance reaches the store.
+        The same as `confirmed_s` while no instance reaches the store and most electors
+        follow the coordinator.
     probes_per_s : float
         Test calls per second of all instances together while the store doesn't answer
         the coordinator. Each call is billed.
     member_s : float
         Seconds after its last report for which an instance counts as live.
+    followed_s : float
+        Seconds for which a member follows the coordinator after it has received a
+        notice. With an interval between reports, it must be below `confirmed_s`, so
+        that takeovers from a lost coordinator take no longer.
     hold_s : float
         Grant duration in seconds.
     renew_s : float
@@ -376,6 +381,7 @@
     offline_s: float = 30.0
     probes_per_s: float = 8.0
     member_s: float = 1.5
+    followed_s: float = 1.5
     hold_s: float = 3.0
     renew_s: float = 0.75
     call_timeout_s: float = 0.4
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -5,10 +5,12 @@
 from dataclasses import replace
 from time import monotonic
 
+from plantaincart_core.electorate import choose_electors
 from plantaincart_core.era import next_epoch
-from plantaincart_schema.generated.direct import CoordinatorRow
+from plantaincart_schema.generated.direct import CoordinatorRow, MemberReport
 
 from plantaincart_router.direct.clock import SuspensionMonitor, read_boot_time
+from plantaincart_router.direct.following import Following
 from plantaincart_router.direct.membership import Membership
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.direct.store import (
@@ -33,8 +35,9 @@
 # Seconds for which the store may take to answer a read before the term is given up
 # because it answers other instances.
 LAST_READ_TIMEOUT_S = 0.3
-# Intervals between reports within which the members report again after a suspension.
-REPORTS_AFTER_SUSPENSION = 3
+# Intervals between reports within which members report again after a suspension, or
+# after the coordinator has had no processor time.
+REPORTS_AFTER_PAUSE = 3
 
 
 class Term:
@@ -57,6 +60,8 @@
         Boot time in seconds at which the call that wrote the row began.
     members : Membership
         Instances that report whether the store answers them.
+    have_earlier_ended : callable
+        Returns whether all earlier terms have certainly ended.
     end_term : callable
         Called with a reason when the term must end.
     on_confirmed : callable
@@ -75,7 +80,10 @@
     -----
     The term lasts for `confirmed_s` after the start of the last call that confirmed it,
     even if another call is in progress then. While the members report that the store
-    answers none of them, no instance can take over, so the term lasts for `offline_s`.
+    answers none of them, it lasts for `offline_s`, but is valid only while most of the
+    electors that the row names follow this instance. A successor that the members
+    don't hear, in another part of a partitioned network, waits until it knows that they
+    don't (`PreviousTerm`).
 
     Times are boot times, since others may take over while the machine is suspended.
     After a suspension the members must report again before an outage prolongs the term.
@@ -94,6 +102,7 @@
         era: int,
         claimed_at: float,
         members: Membership,
+        have_earlier_ended: Callable[[], bool],
         end_term: Callable[[str], None],
         on_confirmed: Callable[[], None],
         on_reclaimed: Callable[[], None],
@@ -103,15 +112,17 @@
         self._row = row
         self._version = version
         self._members = members
+        self._following = Following(row, version)
+        self._have_earlier_ended = have_earlier_ended
         self._end_term = end_term
         self._on_confirmed = on_confirmed
         self._on_reclaimed = on_reclaimed
         self._reclaimed_row: CoordinatorRow | None = None
         self._wake_event = Event()
         self._is_rechecking = False
-        self._lasts_through_outage = False
+        self._lasts_through_outage = self._is_suspended = False
         self._suspension_monitor = SuspensionMonitor()
-        self._confirmed_at = self._verified_at = claimed_at
+        self._confirmed_at = claimed_at
         self._resumed_at = float("-inf")
         self._last_error = "no answer yet"
         self._expiry_timer = ReschedulableTimeout(get_running_loop(), self._check)
@@ -133,9 +144,8 @@
 
     @property
     def is_valid(self) -> bool:
-        """Whether no other instance can have taken over."""
-        age_s = read_boot_time() - self._verified_at
-        return not self._closed and age_s < self._times.confirmed_s
+        """Whether no later coordinator can rely on the end of this term."""
+        return not self._closed and read_boot_time() < self._find_valid_until()
 
     @property
     def is_store_lost_for_all(self) -> bool:
@@ -148,6 +158,14 @@
         self._closed = True
         self._expiry_timer.stop()
 
+    def record_report(self, report: MemberReport) -> None:
+        """Record the latest notice that a member has received."""
+        if report.heard_epoch == self.epoch:
+            heard_at = min(report.heard_at, read_boot_time())
+            self._following.record(
+                report.member, report.incarnation, heard_at + self._times.followed_s
+            )
+
     async def renew(self) -> None:
         """Renew the row until the term ends."""
         while not self._closed:
@@ -157,10 +175,10 @@
                 await self.reread_row(self._last_error, LAST_READ_TIMEOUT_S)
                 continue
             started_at = read_boot_time()
-            row = replace(self._row, beat=self._row.beat + 1)
+            incarnations = self._members.list_incarnations()
             try:
-                await self._write(row)
-                self._confirm(started_at)
+                await self._write(self._make_renewed_row())
+                self._confirm(started_at, incarnations)
             except (StoreConflictError, StoreUnavailableError) as error:
                 # The write may have taken effect although its answer was lost.
                 await self.reread_row(str(error))
@@ -201,6 +219,7 @@
         """
         self._last_error = error
         started_at = read_boot_time()
+        incarnations = self._members.list_incarnations()
         try:
             async with timeout(limit_s):
                 view = await self._store.read(COORDINATOR_TABLE)
@@ -211,7 +230,7 @@
             return
         current = find_term(view)
         if view.era > self.era and not is_era_claimed(view):
-            await self._reclaim(view, started_at)
+            await self._reclaim(view, started_at, incarnations)
             return
         if current is not None and current[0] == self._reclaimed_row:
             # The answer to the claim was lost.
@@ -225,10 +244,13 @@
             self._end_term("the row no longer names this instance")
             return
         else:
+            self._following.record_found(current[0], current[1])
             self._row, self._version = current
-        self._confirm(started_at)
+        self._confirm(started_at, incarnations)
 
-    async def _reclaim(self, view: TableRows, started_at: float) -> None:
+    async def _reclaim(
+        self, view: TableRows, started_at: float, incarnations: dict[str, str]
+    ) -> None:
         """Claim the term anew after a restoration of the store."""
         if not self._excludes_takeover():
             self._end_term("the store was restored, perhaps after a takeover")
@@ -254,7 +276,7 @@
             self._check(has_just_read=True)
             return
         self._adopt_claim(claimed, version, view.era)
-        self._confirm(started_at)
+        self._confirm(started_at, incarnations)
 
     def _adopt_claim(self, row: CoordinatorRow, version: int, era: int) -> None:
         write_event(
@@ -264,6 +286,7 @@
             previous_era=self.era,
             era=era,
         )
+        self._following.record_found(row, version)
         self._row, self._version, self.era = row, version, era
         self._reclaimed_row = None
         self._on_reclaimed()
@@ -293,9 +316,11 @@
     def _names_other_term(self, row: CoordinatorRow) -> bool:
         return (row.epoch, row.holder) != (self.epoch, self.holder)
 
-    def _confirm(self, at: float) -> None:
-        self._confirmed_at = self._verified_at = at
+    def _confirm(self, at: float, incarnations: dict[str, str]) -> None:
+        self._confirmed_at = at
+        self._following.incarnations = incarnations
         self._is_rechecking = self._lasts_through_outage = False
+        self._is_suspended = False
         self.store_unreachable = False
         if not self._closed:
             remaining_s = at + self._times.confirmed_s - read_boot_time()
@@ -332,21 +357,57 @@
                 f"the store answers others, but not this instance: {self._last_error}"
             )
         elif age_s >= self._times.confirmed_s:
-            is_outage = self._is_outage(silences)
-            report_until = (
-                self._resumed_at + REPORTS_AFTER_SUSPENSION * self._times.report_s
+            self._check_outage(now, age_s, silences)
+
+    def _check_outage(self, now: float, age_s: float, silences: list[float]) -> None:
+        """End the term unless most electors know that the store answers nobody."""
+        is_outage = self._is_outage(silences)
+        report_window_s = REPORTS_AFTER_PAUSE * self._times.report_s
+        if not is_outage and now < self._resumed_at + report_window_s:
+            self._expiry_timer.set(self._times.report_s)
+            return
+        if not is_outage or age_s > self._times.offline_s:
+            self._end_term(
+                f"no renewal confirmed for {age_s:.1f} s: {self._last_error}"
             )
-            if not is_outage and now < report_until:
-                self._expiry_timer.set(self._times.report_s)
-                return
-            if not is_outage or age_s > self._times.offline_s:
-                self._end_term(
-                    f"no renewal confirmed for {age_s:.1f} s: {self._last_error}"
-                )
-            else:
-                self._lasts_through_outage = True
-                self._verified_at = now
-                self._expiry_timer.set(self._times.report_s)
+            return
+        followed_until = self._following.find_followed_until(self.holder)
+        unfollowed_s = now - max(
+            followed_until, self._confirmed_at + self._times.confirmed_s
+        )
+        if not self._lasts_through_outage or self._is_suspended != (unfollowed_s > 0):
+            self._is_suspended = unfollowed_s > 0
+            write_event(
+                "term_suspended" if self._is_suspended else "term_prolonged",
+                epoch=self.epoch,
+                confirmed_s=round(age_s, 2),
+                electors=self._following.count_electors(),
+                followed_by=self._following.count_followers(now),
+                tried=len(silences),
+            )
+        self._lasts_through_outage = True
+        if unfollowed_s > report_window_s:
+            self._end_term("too few electors follow this instance")
+            return
+        self._expiry_timer.set(self._times.report_s)
+
+    def _find_valid_until(self) -> float:
+        """Return the boot time in seconds until which the term is valid."""
+        confirmed_until = self._confirmed_at + self._times.confirmed_s
+        if not self._lasts_through_outage:
+            return confirmed_until
+        followed_until = self._following.find_followed_until(self.holder)
+        offline_until = self._confirmed_at + self._times.offline_s
+        return max(confirmed_until, min(followed_until, offline_until))
+
+    def _make_renewed_row(self) -> CoordinatorRow:
+        """Return the row with the next beat, and with electors among the members."""
+        row = replace(self._row, beat=self._row.beat + 1)
+        if not self._have_earlier_ended():
+            return row
+        members = {self.holder, *self._members.list_names()}
+        electors = choose_electors(self._row.electors, members)
+        return replace(row, electors=list(electors), earlier_ended=True)
 
     def _is_outage(self, silences: list[float]) -> bool:
         """Whether members have tried the store, and none of them reaches it."""
@@ -356,7 +417,9 @@
 
     async def _write(self, row: CoordinatorRow) -> None:
         stored = make_term_row(row, self._version)
+        self._following.record_attempt(row)
         self._version = await self._store.write(
             COORDINATOR_TABLE, stored, absent=list_later_eras(self.era)
         )
         self._row = row
+        self._following.record_found(row, self._version)
--- a/packages/router/plantaincart_router/direct/termwatch.py
+++ b/packages/router/plantaincart_router/direct/termwatch.py
@@ -178,6 +178,8 @@
             epoch=next_epoch(self.era, epoch, self.known_epoch),
             beat=0,
             vacant=False,
+            # They stay until the earlier terms have ended.
+            electors=[] if self.row is None else self.row.electors,
         )
         try:
             version = await self._store.write(
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -56,6 +56,7 @@
     offline_s=3.0,
     probes_per_s=60.0,
     member_s=0.3,
+    followed_s=0.3,
     hold_s=0.5,
     renew_s=0.1,
     call_timeout_s=0.1,
--- a/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
+++ b/packages/router/plantaincart_router/direct/tests/test_large_fleet.py
@@ -8,6 +8,7 @@
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.noticecodec import pack_notice
 from plantaincart_router.direct.pool import UpstreamPools
+from plantaincart_router.direct.previousterm import PreviousTerm
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.direct.termrow import make_term_row
 from plantaincart_router.direct.tests.fakes import (
@@ -55,8 +56,7 @@
         read_boot_time(),
         notify,
         [],
-        previous_renewed_at=monotonic(),
-        previous_grant_duration_s=0.0,
+        PreviousTerm(settings.coordination, None, monotonic(), 0.0),
     )
     return coordinator, view
 
--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -67,7 +67,7 @@
         is_announced = self._registry.find_announced(*process) is not None
         if is_announced and not self._granter.is_failing(*process):
             return self._mean_release_s
-        return max(self._granter.grant_expiry(*process) - monotonic(), 0.0)
+        return max(self._granter.estimate_grant_expiry(*process) - monotonic(), 0.0)
 
     async def move(self, key_range: KeyRange, sources: Iterable[KeyRange]) -> bool:
         """
@@ -110,9 +110,7 @@
                     elapsed_s - self._mean_release_s
                 )
             return handover or ""
-        remaining_s = self._granter.grant_expiry(*process) - monotonic()
-        if remaining_s > 0.0:
-            await sleep(remaining_s)
+        await self._granter.wait_for_expiry(*process)
         return ""
 
     async def _grant_with_retries(
