Send changes of the map again that a member has missed

A member that had missed a notice, as on a connection that broke in a cut, kept an outdated map of owners for as long as the term lasted: requests went to former owners, which answer that they don't own the key. Two causes: a notice doesn't name the version that its changes are based on, so that the member reported the latest version without the lost changes; and the time after which the coordinator sends changes again was counted from the last notice, of which there are four a second, instead of the last one with changes.

--- a/packages/router/plantaincart_router/direct/noticewriter.py
+++ b/packages/router/plantaincart_router/direct/noticewriter.py
@@ -106,6 +106,7 @@
         """
         member = self._members.get(name)
         changes: list[MapChange] | None = []
+        map_after = -1
         tables: list[TableChange] = []
         fields: dict[str, Any] = {}
         if member is not None:
@@ -118,11 +119,11 @@
             for term in self._fact_terms:
                 fields |= term.describe(scope)
             if self.is_map_known:
-                changes = self.map_history.list_since(
-                    member.find_map_version(self._term.epoch)
-                )
+                map_after = member.find_map_version(self._term.epoch)
+                changes = self.map_history.list_since(map_after)
             tables = self._list_table_changes(member)
-            member.record_map_sent(self.map_history.version, changes is None)
+            if changes is None or changes:
+                member.record_map_sent(self.map_history.version, changes is None)
         return CoordinatorNotice(
             coordinator=self._term.holder,
             epoch=self._term.epoch,
@@ -131,6 +132,7 @@
             rank=self._members.find_rank(name),
             map_version=self.map_history.version,
             complete=changes is None,
+            map_after=map_after if changes else -1,
             resigned=resigned,
             hold_s=self._granter.grant_duration_s,
             doubt=self._term.store_unreachable,
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -266,6 +266,9 @@
                 fact.apply(notice, now)
         if notice.complete:
             self.owners = {}
+        elif notice.map_after > self.map_version:
+            # A notice was lost. The next report says so by the version of the map.
+            return True
         self._apply_changes(notice.changes)
         if notice.complete or notice.changes:
             self.map_version = notice.map_version
