--- a/packages/router/plantaincart_router/direct/tests/partitionedsystem.py
+++ b/packages/router/plantaincart_router/direct/tests/partitionedsystem.py
@@ -18,13 +18,14 @@
     """
     A system whose messages, calls and store can be lost between two sides.
 
-    `side` holds the names of instances and upstreams that are cut from all others;
-    `reaches_store` tells whether these, or the others, reach the store.
+    `side` holds the names of instances and upstreams that are cut from all others. In
+    a cut with `is_one_way`, messages and calls from the side still arrive.
     """
 
     def __init__(self, upstreams=6):
         super().__init__(upstreams)
         self.side = frozenset()
+        self.is_one_way = False
 
     def add(self, name, loop, resources=None):
         instance = Instance(
@@ -37,19 +38,19 @@
         instance.follower.start(loop)
         return instance
 
-    def are_parted(self, first, second):
-        return (first in self.side) != (second in self.side)
+    def are_parted(self, sender, receiver):
+        if self.is_one_way and sender in self.side:
+            return False
+        return (sender in self.side) != (receiver in self.side)
 
     def cut(self, side, side_reaches_store=False):
         """Cut some instances and upstreams from all others and from the store."""
         self.side = frozenset(side)
         refused = self.side if not side_reaches_store else set(self.instances) - side
-        self.store.refused_clients = {
-            name for name in self.instances if name in refused
-        }
+        self.store.refused_clients = set(self.instances) & refused
 
     def heal(self):
-        self.side = frozenset()
+        self.side, self.is_one_way = frozenset(), False
         self.store.refused_clients = set()
 
     def _cut_messages(self, instance):
@@ -61,12 +62,12 @@
 
         def receive_report_of_side(frames):
             report = decode_msgpack(frames[-1], MemberReport)
-            if not self.are_parted(name, report.member):
+            if not self.are_parted(report.member, name):
                 receive_report(frames)
 
         def receive_notice_of_side(frames):
             notice = unpack_notice(frames)
-            if not self.are_parted(name, notice.coordinator):
+            if not self.are_parted(notice.coordinator, name):
                 receive_notice(frames)
 
         follower._receive_report = receive_report_of_side
