Count a term from the last write that took effect, not from reads

A successor claims the term when the row hasn't changed for 1.2 s, and counts its predecessor's last grants from that change.

A row that is found with the beat of an unanswered write confirms the term from the begin of that write; a row that hasn't changed confirms nothing. After an outage the read is followed by a write at once, since only the write ends what the term relies on then, the electors. test_term_ends_where_reads_are_ answered_and_writes_are_not failed before (the term never ended); a term whose writes take effect without an answer still goes on.

--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -118,6 +118,9 @@
         self._on_confirmed = on_confirmed
         self._on_reclaimed = on_reclaimed
         self._reclaimed_row: CoordinatorRow | None = None
+        self._reclaimed_at = float("-inf")
+        # Boot times of the begin of writes that weren't answered, by the row's beat.
+        self._attempted_at: dict[int, float] = {}
         self._wake_event = Event()
         self._is_rechecking = False
         self._lasts_through_outage = self._is_suspended = False
@@ -169,10 +172,11 @@
     async def renew(self) -> None:
         """Renew the row until the term ends."""
         while not self._closed:
-            if await self._wait_for_beat():
-                # Tells a restoration, or the end of an outage, from a loss of the store
-                # at this instance alone.
-                await self.reread_row(self._last_error, LAST_READ_TIMEOUT_S)
+            # A read tells a restoration, or the end of an outage, from a loss of the
+            # store at this instance alone.
+            if await self._wait_for_beat() and not await self.reread_row(
+                self._last_error, LAST_READ_TIMEOUT_S
+            ):
                 continue
             started_at = read_boot_time()
             incarnations = self._members.list_incarnations()
@@ -205,10 +209,12 @@
             return False
         return True
 
-    async def reread_row(self, error: str, limit_s: float | None = None) -> None:
+    async def reread_row(self, error: str, limit_s: float | None = None) -> bool:
         """
         Read the row; end the term if it no longer names this instance.
 
+        A row that hasn't changed doesn't confirm the term, since others may claim it.
+
         Parameters
         ----------
         error : str
@@ -216,6 +222,11 @@
         limit_s : float, optional
             Seconds after which the store counts as unreachable, if that is shorter
             than the timeout of a call.
+
+        Returns
+        -------
+        bool
+            Whether the row names this instance.
         """
         self._last_error = error
         started_at = read_boot_time()
@@ -227,13 +238,14 @@
             write_event("term_unread", epoch=self.epoch, error=repr(failure))
             self.store_unreachable = True
             self._check(has_just_read=True)
-            return
+            return False
         current = find_term(view)
         if view.era > self.era and not is_era_claimed(view):
             await self._reclaim(view, started_at, incarnations)
-            return
+            return not self._closed
         if current is not None and current[0] == self._reclaimed_row:
             # The answer to the claim was lost.
+            written_at: float | None = self._reclaimed_at
             self._adopt_claim(current[0], current[1], view.era)
         elif (
             view.era > self.era
@@ -242,11 +254,15 @@
             or self._names_other_term(current[0])
         ):
             self._end_term("the row no longer names this instance")
-            return
+            return False
         else:
             self._following.record_found(current[0], current[1])
             self._row, self._version = current
-        self._confirm(started_at, incarnations)
+            written_at = self._attempted_at.get(self._row.beat)
+        self.store_unreachable = self._is_rechecking = False
+        if written_at is not None:
+            self._confirm(written_at, incarnations)
+        return True
 
     async def _reclaim(
         self, view: TableRows, started_at: float, incarnations: dict[str, str]
@@ -259,7 +275,7 @@
         claimed = replace(
             self._row, epoch=next_epoch(view.era, self.epoch, row.epoch), beat=0
         )
-        self._reclaimed_row = claimed
+        self._reclaimed_row, self._reclaimed_at = claimed, started_at
         try:
             version = await self._store.write(
                 COORDINATOR_TABLE,
@@ -317,13 +333,15 @@
         return (row.epoch, row.holder) != (self.epoch, self.holder)
 
     def _confirm(self, at: float, incarnations: dict[str, str]) -> None:
-        self._confirmed_at = at
+        self._confirmed_at = max(self._confirmed_at, at)
+        self._attempted_at.clear()
         self._following.incarnations = incarnations
         self._is_rechecking = self._lasts_through_outage = False
         self._is_suspended = False
         self.store_unreachable = False
         if not self._closed:
-            remaining_s = at + self._times.confirmed_s - read_boot_time()
+            confirmed_until = self._confirmed_at + self._times.confirmed_s
+            remaining_s = confirmed_until - read_boot_time()
             self._expiry_timer.set(max(0.0, remaining_s))
         self._on_confirmed()
 
@@ -418,6 +436,7 @@
     async def _write(self, row: CoordinatorRow) -> None:
         stored = make_term_row(row, self._version)
         self._following.record_attempt(row)
+        self._attempted_at[row.beat] = read_boot_time()
         self._version = await self._store.write(
             COORDINATOR_TABLE, stored, absent=list_later_eras(self.era)
         )
--- a/packages/router/plantaincart_router/direct/tests/test_term.py
+++ b/packages/router/plantaincart_router/direct/tests/test_term.py
@@ -114,6 +114,37 @@
     term_run.task.cancel()
 
 
+async def test_term_ends_where_reads_are_answered_and_writes_are_not():
+    """Guards against a term that outlasts an unchanged row, which others may claim."""
+    term_run = RenewedTerm()
+    await sleep(3 * FAST.beat_s)
+
+    async def reject(table, row, also=(), absent=()):
+        raise StoreUnavailableError("too many writes", False)
+
+    term_run.client.write = reject
+    rejected_at = monotonic()
+    await sleep(2 * FAST.confirmed_s)
+    term_run.task.cancel()
+    assert term_run.ended_at is not None
+    assert term_run.ended_at - rejected_at <= FAST.confirmed_s + TOLERANCE_S
+
+
+async def test_term_counts_from_a_write_whose_answer_is_lost():
+    term_run = RenewedTerm()
+    await sleep(3 * FAST.beat_s)
+    write = term_run.client.write
+
+    async def lose_answer(table, row, also=(), absent=()):
+        await write(table, row, also, absent)
+        raise StoreUnavailableError("answer lost")
+
+    term_run.client.write = lose_answer
+    await sleep(2 * FAST.confirmed_s)
+    term_run.task.cancel()
+    assert term_run.ended_at is None
+
+
 async def test_term_ends_when_the_store_answers_another_instance():
     term_run = RenewedTerm()
     silent_at = await term_run.silence_store(seconds=0.02)
