Connect to the coordinator again when it renews its row but isn't heard

Connections between instances may fall silent for good while new ones work. Two reads during the silence that show different versions of the row tell that the coordinator acts; the connection is then replaced.

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -186,9 +186,13 @@
         if self._lacks_coordinator and not self._leaving:
             await self._find_or_replace_coordinator()
 
+    @property
+    def _silent_since(self) -> float:
+        """Time in seconds from which on the coordinator is suspected."""
+        return max(self._last_notice_at, self._connected_at) + self._times.silent_s
+
     def _is_coordinator_silent(self) -> bool:
-        since = max(self._last_notice_at, self._connected_at)
-        return monotonic() - since > self._times.silent_s
+        return monotonic() > self._silent_since
 
     async def _find_or_replace_coordinator(self) -> None:
         if monotonic() - self._term.read_at < self._choose_row_read_interval_s():
@@ -219,9 +223,15 @@
             for feed in self.feeds:
                 feed.poll_now()
         self._probe.record_answer(monotonic())
+        previous_version, previously_read_at = self._term.version, self._term.read_at
         row = self._term.apply(view)
         if row is not None:
             self._connect(row)
+        elif (
+            previously_read_at > self._silent_since
+            and self._term.version != previous_version
+        ):
+            self._reconnect()
 
     @property
     def _lacks_coordinator(self) -> bool:
@@ -381,7 +391,8 @@
 
     def _connect(self, row: CoordinatorRow) -> None:
         self._disconnect()
-        self._leave_earlier_coordinator()
+        if row.epoch != self._heard_epoch:
+            self._leave_earlier_coordinator()
         write_event("coordinator_known", holder=row.holder, epoch=row.epoch)
         if self._is_own_earlier(row):
             return
@@ -394,6 +405,13 @@
         self._coordinator_resigned = False
         self._report()
 
+    def _reconnect(self) -> None:
+        """Replace a silent connection to a coordinator that renews its row."""
+        row = self._term.row
+        if row is not None and not row.vacant and self._lacks_coordinator:
+            write_event("coordinator_unheard", holder=row.holder, epoch=row.epoch)
+            self._connect(row)
+
     def _disconnect(self) -> None:
         if self._notice_socket is not None:
             self._notice_socket.close()
