Ignore a late read of the row in what it may name as electors

Renewing the row and marking it as vacant may overlap, so a read may be answered after a later write; it named the electors of a row that had been replaced. Found by reading.

--- a/packages/router/plantaincart_router/direct/following.py
+++ b/packages/router/plantaincart_router/direct/following.py
@@ -49,7 +49,10 @@
 
     def record_found(self, row: CoordinatorRow, version: int) -> None:
         """Record that the store contains a row."""
-        if version != self._version:
+        if version < self._version:
+            # A late answer to a read, of a row that has been replaced.
+            return
+        if version > self._version:
             # Writes on the condition of the earlier version can't take effect any more.
             self._version = version
             self._possible_electors = set()
