Count a claimed term from its claim, also for the claimant itself

An instance whose term ended without a renewal of its row read the row again, saw the version that it had written itself, and dated the end of that term by the last change before its claim, 1.2 s too early.

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -297,7 +297,7 @@
         if not await self._wait_for_better_candidates():
             return
         claimed_at = read_boot_time()
-        replaced_row = self._term.row
+        replaced_row, renewed_at = self._term.row, self._term.changed_at
         row = await self._term.claim(
             self._settings.name, self._peer_address(self._settings), self._view.epoch
         )
@@ -317,13 +317,14 @@
             claimed_at,
             self._notify,
             self.feeds,
-            self._describe_previous_term(replaced_row),
+            self._describe_previous_term(replaced_row, renewed_at),
         )
         self.coordinator.start()
         self._report()
 
-    def _describe_previous_term(self, row: CoordinatorRow | None) -> PreviousTerm:
-        renewed_at = self._term.changed_at
+    def _describe_previous_term(
+        self, row: CoordinatorRow | None, renewed_at: float
+    ) -> PreviousTerm:
         if row is None or not row.electors:
             # A coordinator of an earlier build acts in an outage although its row
             # doesn't change, and names no electors who would know it.
--- a/packages/router/plantaincart_router/direct/termwatch.py
+++ b/packages/router/plantaincart_router/direct/termwatch.py
@@ -191,7 +191,7 @@
         except StoreConflictError:
             self.read_at = 0.0
             return None
-        self.row, self.version = row, version
+        self.row, self.version, self.changed_at = row, version, monotonic()
         return row
 
     def _record_era(self, view: TableRows) -> None:
--- a/packages/router/plantaincart_router/direct/tests/test_unrenewed_term.py
+++ b/packages/router/plantaincart_router/direct/tests/test_unrenewed_term.py
@@ -78,5 +78,5 @@
     # The claim has started a term, which has ended since.
     watch.forget()
     watch.apply(await watch.read())
-    previous_term = follower._describe_previous_term(watch.row)
+    previous_term = follower._describe_previous_term(watch.row, watch.changed_at)
     assert previous_term.find_end() >= claimed_at + FAST.confirmed_s
