--- a/packages/router/plantaincart_router/direct/rankfact.py
+++ b/packages/router/plantaincart_router/direct/rankfact.py
@@ -42,7 +42,8 @@
     Notes
     -----
     While the coordinator is silent, the last shares hold for `SILENCE_S`. Then the
-    instance goes on by its own sums for the services that were short.
+    instance goes on by its own sums for the services that were short. They hold as long
+    beside notices of a later coordinator that knows no sums yet.
     """
 
     needs_map = False
@@ -54,6 +55,7 @@
         self._is_watched = False
         self._told: dict[str, dict[Rank, float]] = {}
         self._told_at = float("-inf")
+        self._told_epoch = 0
         self._own: dict[str, RankCut] = {}
 
     def copy(self) -> Self:
@@ -133,6 +135,10 @@
             rank = Rank(item.account, item.route)
             shares.setdefault(item.service, {})[rank] = item.share
         self._is_watched = notice.watch_ranks
+        is_later = notice.epoch != self._told_epoch
+        if is_later and not shares and now - self._told_at <= SILENCE_S:
+            return
+        self._told_epoch = notice.epoch
         self._told, self._told_at = shares, now
         self._own.clear()
 
