Release keys from a restarted upstream that may have accepted their grants

Cause: an upstream without an answer is granted its keys again and again. A call says which id it is for, not which process, so that the first call after the restart was accepted by the later process, but booked for the earlier one. With the announcement of the later process, all grants of the earlier one were taken for void. A successor that reads the earlier process in the row of owners did the same.

Ruled out: finding out from connections or from the announcement which process has answered. A process can start between its predecessor's last announcement and the first call to it, so that neither proves anything.

Change: what was granted to a process counts for every later process with its id and address. The keys are released from the announced one, or their expiry is awaited. Only a later process at another address, or expired grants, need neither. The stored address of an id is that of its latest process.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -330,7 +330,9 @@
         for record, _ in self._renewed_grants.values():
             yield record.id, record.born
 
-    async def release(self, record: UpstreamRecord, key_range: KeyRange) -> str | None:
+    async def release(
+        self, record: UpstreamRecord, key_range: KeyRange, born: int | None = None
+    ) -> str | None:
         """
         Release keys from their owner; retry until they are free.
 
@@ -340,6 +342,9 @@
             Owner of the keys.
         key_range : KeyRange
             Keys with the fencing token of their next grant.
+        born : int, optional
+            Start of the earlier process to which the keys were granted, if the owner is
+            a later one that may have accepted these grants.
 
         Returns
         -------
@@ -347,10 +352,13 @@
             Handover data; None if the owner didn't answer before its grants expired.
         """
         delay_s = FIRST_RETRY_DELAY_S
+        process = (record.id, record.born if born is None else born)
         while self.enabled:
             try:
                 if self.may_call:
-                    handover = await self._release_before_expiry(record, key_range)
+                    handover = await self._release_before_expiry(
+                        record, key_range, process
+                    )
                     self.outcomes.record_answer()
                     return handover
             except (ExchangeError, TimeoutError) as error:
@@ -362,7 +370,7 @@
                     fence=key_range.fence,
                     error=str(error) or "grant expired",
                 )
-            remaining_s = self.grant_expiry(record.id, record.born) - monotonic()
+            remaining_s = self.grant_expiry(*process) - monotonic()
             if remaining_s <= 0.0:
                 return None
             await sleep(min(delay_s, remaining_s))
@@ -370,10 +378,10 @@
         return None
 
     async def _release_before_expiry(
-        self, record: UpstreamRecord, key_range: KeyRange
+        self, record: UpstreamRecord, key_range: KeyRange, process: tuple[str, int]
     ) -> str:
-        """Make one release call; give it up when the grants have expired."""
-        process, started_at = (record.id, record.born), monotonic()
+        """Make one release call; give it up when the process's grants have expired."""
+        started_at = monotonic()
         is_granted = process in self._grant_expiries or process in self._earlier_owners
         call = create_task(self._calls.release(record, key_range))
         try:
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -279,9 +279,10 @@
 
 @dataclass
 class MemoryUpstream:
-    """An upstream with the grants that it has accepted."""
+    """An upstream with the grants that its present process has accepted."""
 
     name: str
+    born: int = 1
     reachable: bool = True
     displaced: bool = False
     work_s: float = 0.0
@@ -290,6 +291,13 @@
     grants: list = field(default_factory=list)
     highest_fences: dict = field(default_factory=dict)
 
+    def restart(self):
+        """Start again under the same id; announcements follow separately."""
+        self.born += 1
+        self.connected.clear()
+        self.grants.clear()
+        self.highest_fences.clear()
+
     def owns(self, key):
         now = monotonic()
         return any(
@@ -354,11 +362,15 @@
                 monotonic() + duration_s,
             )
         )
+        self.record_accepted(target, key_range)
         if target.lose_answers:
             target.lose_answers -= 1
             target.connected.discard(self.instance)
             raise AnswerLostError("lost")
 
+    def record_accepted(self, target, key_range):
+        """Record that an upstream has accepted a grant."""
+
     async def release(self, upstream, key_range):
         if self.hanging:
             await self._hang(upstream, FAST.release_timeout_s)
--- a/packages/router/plantaincart_router/direct/tests/memorysystem.py
+++ b/packages/router/plantaincart_router/direct/tests/memorysystem.py
@@ -32,23 +32,23 @@
 
 
 class CheckedGrants(MemoryGrants):
-    """Counts grants whose token isn't above those of all earlier owners."""
+    """Counts grants whose token isn't above those of all other processes."""
 
     def __init__(self, upstreams, instance, history):
         super().__init__(upstreams, instance)
         self._history = history
         self.outdated_tokens = 0
 
-    async def grant(self, upstream, key_range, duration_s, handover="", renewal=False):
-        await super().grant(upstream, key_range, duration_s, handover, renewal)
+    def record_accepted(self, target, key_range):
+        process = (target.name, target.born)
         self.outdated_tokens += any(
             earlier.fence >= key_range.fence
             and earlier.first <= key_range.last
             and key_range.first <= earlier.last
-            for name, earlier in self._history
-            if name != upstream.id
+            for other, earlier in self._history
+            if other != process
         )
-        self._history.append((upstream.id, key_range))
+        self._history.append((process, key_range))
 
 
 class Instance:
@@ -73,7 +73,8 @@
 
     def announce(self, upstreams):
         for upstream in upstreams.values():
-            self.view.directory.put(make_record(upstream.name), monotonic())
+            record = make_record(upstream.name, born=upstream.born)
+            self.view.directory.put(record, monotonic())
 
     @property
     def is_coordinator(self):
--- /dev/null
+++ b/packages/router/plantaincart_router/direct/tests/test_upstream_restart.py
@@ -0,0 +1,110 @@
+"""
+Upstreams that start again under the same id while grants are made to them.
+
+The tests guard against two upstreams with the same keys: a grant that a later process
+has accepted must not be taken for one that ended with the earlier process.
+"""
+
+from asyncio import get_running_loop, sleep
+from time import monotonic
+
+import pytest
+from plantaincart_router.direct.tests.fakes import FAST, make_record
+from plantaincart_router.direct.tests.memorysystem import (
+    SAMPLE_KEYS,
+    OwnerWatch,
+    run_system,
+    wait_for,
+)
+
+# Longer than the grant duration and the term of the fast settings together.
+OBSERVED_S = 1.0
+
+
+def owns_any(upstream):
+    return any(upstream.owns(key) for key in SAMPLE_KEYS)
+
+
+def announce(system):
+    """Let all instances read the announcements of the present processes."""
+    for instance in system.instances.values():
+        instance.announce(system.upstreams)
+
+
+async def restart_before_announcement(system, name):
+    """Start an upstream again, and wait until it has accepted a grant."""
+    upstream = system.upstreams[name]
+    upstream.restart()
+    await wait_for(lambda: owns_any(upstream))
+    return upstream
+
+
+async def test_grant_is_accepted_before_the_later_process_is_announced():
+    """Guards against keys granted to others while the later process holds them."""
+    async with run_system(get_running_loop()) as system:
+        watch = OwnerWatch(system)
+        await restart_before_announcement(system, "u1")
+        announce(system)
+        await sleep(OBSERVED_S)
+        watch.stop()
+        assert system.all_keys_owned()
+
+
+@pytest.mark.parametrize("is_gone", [False, True])
+async def test_takeover_before_the_later_process_is_announced(is_gone):
+    """Guards against a successor that takes what the row says for void at once."""
+    async with run_system(get_running_loop()) as system:
+        watch = OwnerWatch(system)
+        coordinator = system.find_coordinator()
+        await restart_before_announcement(system, "u1")
+        if is_gone:
+            system.kill(coordinator.settings.name)
+        else:
+            await coordinator.follower.withdraw()
+        announce(system)
+        await sleep(OBSERVED_S + FAST.silent_s)
+        watch.stop()
+
+
+async def test_later_process_that_is_not_reached_keeps_its_grants():
+    """Guards against keys of a process that doesn't answer the release."""
+    async with run_system(get_running_loop()) as system:
+        watch = OwnerWatch(system)
+        upstream = await restart_before_announcement(system, "u1")
+        upstream.reachable = False
+        announce(system)
+        await sleep(OBSERVED_S)
+        watch.stop()
+        assert not owns_any(upstream)
+        # The planner may try to give this upstream some keys again.
+        await wait_for(system.all_keys_owned)
+
+
+async def test_keys_are_served_soon_after_a_restart_without_further_grants():
+    """Guards against waiting for grants that ended with the process."""
+    async with run_system(get_running_loop()) as system:
+        watch = OwnerWatch(system)
+        system.upstreams["u1"].restart()
+        announce(system)
+        await wait_for(system.all_keys_owned, FAST.hold_s / 2.0)
+        watch.stop()
+
+
+async def test_address_of_an_ended_process_is_not_awaited():
+    """Guards against an expiry awaited for a process that ended elsewhere."""
+    async with run_system(get_running_loop()) as system:
+        watch = OwnerWatch(system)
+        upstream = system.upstreams["u1"]
+        upstream.restart()
+        moved = make_record("u1", born=upstream.born, port=2)
+        for instance in system.instances.values():
+            release = instance.grants.release
+
+            async def release_at(record, key_range, release=release):
+                assert record.id != "u1" or record.port == 2
+                return await release(record, key_range)
+
+            instance.grants.release = release_at
+            instance.view.directory.put(moved, monotonic())
+        await wait_for(system.all_keys_owned, FAST.hold_s / 2.0)
+        watch.stop()
--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -64,11 +64,30 @@
         if not source.owner:
             return 0.0
         process = (source.owner, source.born)
-        is_announced = self._registry.find_announced(*process) is not None
-        if is_announced and not self._granter.is_failing(*process):
+        if self._have_grants_ended(process):
+            return 0.0
+        later = self._registry.find_later(*process)
+        record = later or self._registry.find_announced(*process)
+        if record is not None and not self._granter.is_failing(record.id, record.born):
             return self._mean_release_s
         return max(self._granter.estimate_grant_expiry(*process) - monotonic(), 0.0)
 
+    def _have_grants_ended(self, process: tuple[str, int]) -> bool:
+        """
+        Whether a later process is known that can't hold what was granted to one.
+
+        Calls say which id they are for, not which process. A later process at the same
+        address may have accepted those that were made before it was announced.
+        """
+        later = self._registry.find_later(*process)
+        if later is None:
+            return False
+        record = self._registry.find(*process)
+        is_elsewhere = record is not None and (
+            (record.host, record.port) != (later.host, later.port)
+        )
+        return is_elsewhere or self._granter.grant_expiry(*process) <= monotonic()
+
     async def move(self, key_range: KeyRange, sources: Iterable[KeyRange]) -> bool:
         """
         Release keys from their previous owners, then grant them to the new one.
@@ -96,14 +115,14 @@
 
     async def _release(self, source: KeyRange, key_range: KeyRange) -> str:
         process = (source.owner, source.born)
-        is_unchanged = process == (key_range.owner, key_range.born)
-        if not source.owner or is_unchanged or self._registry.has_restarted(*process):
+        is_kept = source.owner == key_range.owner and source.born <= key_range.born
+        if not source.owner or is_kept or self._have_grants_ended(process):
             return ""
-        record = self._registry.find(*process)
+        record = self._registry.find_later(*process) or self._registry.find(*process)
         if record is not None:
             part = replace(key_range, first=source.first, last=source.last)
             started_at = monotonic()
-            handover = await self._granter.release(record, part)
+            handover = await self._granter.release(record, part, source.born)
             if handover is not None:
                 elapsed_s = monotonic() - started_at
                 self._mean_release_s += RELEASE_SMOOTHING * (
--- a/packages/router/plantaincart_router/direct/upstreamregistry.py
+++ b/packages/router/plantaincart_router/direct/upstreamregistry.py
@@ -70,14 +70,20 @@
             return record
         return None
 
-    def has_restarted(self, upstream: str, born: int) -> bool:
-        """Whether a process has ended, as a later one is announced."""
+    def find_later(self, upstream: str, born: int) -> UpstreamRecord | None:
+        """Return the announced later process under the same id, or None."""
         record = self._view.directory.get(upstream)
-        return record is not None and record.born > born
+        return record if record is not None and record.born > born else None
 
     def list_addresses(self, processes: Iterable[tuple[str, int]]) -> dict[str, str]:
-        """Return host and port by upstream id, in the form that is stored."""
+        """
+        Return host and port by upstream id, in the form that is stored.
+
+        That of the latest process counts, since those before it have ended.
+        """
         records = [
-            self._records[process] for process in processes if process in self._records
+            self._records[process]
+            for process in sorted(processes)
+            if process in self._records
         ]
         return {record.id: f"{record.host}:{record.port}" for record in records}
