Renew a grant only on the connection on which it was accepted

Cause: connections of grant calls were kept by address, and a renewal took any of them. Once keys had been granted again on a new connection, the renewals of the upstream's other grants followed on it, to a process that had accepted none of them.

Change: connections have numbers. A renewal for which that one is closed or in use fails as before, so that the keys are granted again with a new token. The cost is one further grant for each range of an upstream whose connection has ended, instead of one for the first of them.

--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -222,9 +222,9 @@
         handover : str
             Handover data from the release by the previous owner; empty for none.
         renewal : bool
-            Whether the call must use a connection on which the upstream has answered
-            before. A new connection may reach a later process at the same address, and
-            no two processes may get the same fencing token.
+            Whether the call must use the connection on which the upstream has accepted
+            a grant with this token. Another one may reach a later process at the same
+            address, and no two processes may get the same fencing token.
 
         Raises
         ------
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -287,7 +287,8 @@
     displaced: bool = False
     work_s: float = 0.0
     lose_answers: int = 0
-    connected: set = field(default_factory=set)
+    # Fencing tokens accepted on the connection of each instance.
+    connected: dict = field(default_factory=dict)
     grants: list = field(default_factory=list)
     highest_fences: dict = field(default_factory=dict)
 
@@ -338,13 +339,13 @@
         if self.refuses_connections and not renewal:
             raise ConnectFailedError(upstream.id)
         target = self._find_reachable(upstream)
-        if renewal and self.instance not in target.connected:
+        if renewal and key_range.fence not in target.connected.get(self.instance, ()):
             raise ConnectFailedError("no connection kept")
         if target.displaced:
             raise UpstreamDisplacedError("421")
         if self.instance not in target.connected:
             self.connected_at = monotonic()
-        target.connected.add(self.instance)
+        accepted_tokens = target.connected.setdefault(self.instance, set())
         self.calls.append(("grant", upstream.id, key_range, renewal))
         if target.find_highest_fence(key_range.first, key_range.last) > key_range.fence:
             raise GrantRefusedError("409")
@@ -362,10 +363,11 @@
                 monotonic() + duration_s,
             )
         )
+        accepted_tokens.add(key_range.fence)
         self.record_accepted(target, key_range)
         if target.lose_answers:
             target.lose_answers -= 1
-            target.connected.discard(self.instance)
+            target.connected.pop(self.instance, None)
             raise AnswerLostError("lost")
 
     def record_accepted(self, target, key_range):
@@ -403,7 +405,7 @@
     async def _hang(self, upstream, timeout_s):
         target = self.upstreams[upstream.id]
         was_connected = self.instance in target.connected
-        target.connected.discard(self.instance)
+        target.connected.pop(self.instance, None)
         await sleep(timeout_s)
         if was_connected:
             raise AnswerTimeoutError("silent")
--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import Sequence
+from dataclasses import dataclass
 from time import monotonic
 
 from plantaincart_router.exception import (
@@ -14,11 +15,28 @@
 from plantaincart_router.http.exchange import HttpConnection
 from plantaincart_router.http.message import Header, HttpAnswer, HttpRequest
 
-__all__ = ["HttpClient", "HttpConnection"]
+__all__ = ["ConnectionAnswer", "HttpClient", "HttpConnection"]
 
 MAX_IDLE_CONNECTIONS = 8
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionAnswer:
+    """
+    An answer with the connection on which it arrived.
+
+    Parameters
+    ----------
+    answer : HttpAnswer
+        The complete answer, with any status.
+    connection : int
+        Number of the connection.
+    """
+
+    answer: HttpAnswer
+    connection: int
+
+
 class HttpClient:
     """
     Client for one address with a small pool of keep-alive connections.
@@ -73,13 +91,28 @@
         headers: Sequence[Header] = (),
         body: bytes = b"",
         timeout_s: float | None = None,
-        reuse_only: bool = False,
     ) -> HttpAnswer:
+        """Send a request as `request_on` does, on any connection."""
+        answered = await self.request_on(None, method, target, headers, body, timeout_s)
+        return answered.answer
+
+    async def request_on(
+        self,
+        connection_number: int | None,
+        method: str,
+        target: str,
+        headers: Sequence[Header] = (),
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> ConnectionAnswer:
         """
-        Send a request and return the answer.
+        Send a request and return the answer with its connection.
 
         Parameters
         ----------
+        connection_number : int or None
+            The only connection that may be used, if it is open and idle; None for any
+            connection, which is opened if none is idle.
         method : str
             Method in upper case.
         target : str
@@ -90,13 +123,11 @@
             Request body.
         timeout_s : float, optional
             Limit in seconds for this call instead of the client's limit.
-        reuse_only : bool
-            Whether to use idle connections only, and fail if there is none.
 
         Returns
         -------
-        HttpAnswer
-            The complete answer, with any status.
+        ConnectionAnswer
+            The complete answer, and the number of its connection.
 
         Raises
         ------
@@ -110,8 +141,10 @@
         request = HttpRequest(method, target, tuple(headers), body)
         self._calls_in_progress += 1
         try:
-            kept = self._pop_idle()
-            connection = kept or await self._open(deadline - loop.time(), reuse_only)
+            kept = self._pop_idle(connection_number)
+            if kept is None and connection_number is not None:
+                raise ConnectFailedError(f"{self._address}: no connection kept")
+            connection = kept or await self._open(deadline - loop.time())
             try:
                 answer = await connection.exchange(request, deadline - loop.time())
             except (AnswerLostError, SendFailedError):
@@ -127,7 +160,7 @@
             self._idle.append(connection)
         else:
             connection.close()
-        return answer
+        return ConnectionAnswer(answer=answer, connection=connection.number)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -135,16 +168,19 @@
         for connection in idle:
             connection.close()
 
-    def _pop_idle(self) -> HttpConnection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable:
+    @property
+    def _address(self) -> str:
+        return f"{self._host}:{self._port}"
+
+    def _pop_idle(self, number: int | None) -> HttpConnection | None:
+        self._idle = [connection for connection in self._idle if connection.reusable]
+        for connection in reversed(self._idle):
+            if number is None or connection.number == number:
+                self._idle.remove(connection)
                 return connection
         return None
 
-    async def _open(self, timeout_s: float, reuse_only: bool) -> HttpConnection:
-        if reuse_only:
-            raise ConnectFailedError(f"{self._host}:{self._port}: no connection kept")
+    async def _open(self, timeout_s: float) -> HttpConnection:
         connection = await HttpConnection.open(
             self._host, self._port, timeout_s, buffers=self._buffers
         )
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -9,6 +9,7 @@
     timeout,
 )
 from collections.abc import Callable
+from itertools import count
 from typing import Self, cast
 
 from plantaincart_router.exception import (
@@ -31,6 +32,8 @@
 
 __all__ = ["HttpConnection"]
 
+_numbers = count(1)
+
 
 class HttpConnection(Protocol, AnswerHolder):
     """
@@ -40,6 +43,8 @@
 
     Attributes
     ----------
+    number : int
+        Number of the connection, which no other one of this process has.
     last_answer_at : float
         Loop time in seconds when the last complete answer arrived, or when the
         connection was opened.
@@ -62,6 +67,7 @@
         accepts_unframed: bool = False,
         buffers: AnswerBuffers | None = None,
     ) -> None:
+        self.number = next(_numbers)
         self._address = address
         self._loop = get_running_loop()
         self._transport: Transport | None = None
