Retry the grant of a move with a new fencing token

Cause: all attempts of a move used the token of the move. Change: each further attempt has a new one; the owners and renewals take the one that was confirmed. It needn't be stored, since tokens of the next coordinator contain its epoch.

--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -67,7 +67,7 @@
         self._previous_owners: dict[tuple[int, int], tuple[str, int]] = {}
         self._tasks: set[Task[None]] = set()
         self._registry = UpstreamRegistry(service, view)
-        self._transfer = KeyTransfer(granter, self._registry)
+        self._transfer = KeyTransfer(granter, self._registry, writer.next_fencing_token)
         self._key_loads = KeyLoads(settings.coordination.load_memory_s)
         self.owners = OwnerMap()
         self._planner = MovePlanner(
@@ -378,18 +378,19 @@
         self._moving.discard(key_range)
         self._expected_free_at.pop(key_range, None)
         self._previous_owners.pop((key_range.first, key_range.last), None)
-        if granted and record is not None:
+        if granted is not None and record is not None:
+            self.owners.assign(granted)
             write_event(
                 "keys_granted",
                 service=self._service,
                 first=key_range.first,
                 last=key_range.last,
                 upstream=key_range.owner,
-                fence=key_range.fence,
+                fence=granted.fence,
                 previous=sorted({source.owner for source in sources}) or None,
             )
-            self._granter.keep_renewing(self._service, record, key_range)
-            self._writer.publish(self._service, key_range)
+            self._granter.keep_renewing(self._service, record, granted)
+            self._writer.publish(self._service, granted)
         else:
             self._planner.failed_ranges.add(key_range)
             write_event(
--- a/packages/router/plantaincart_router/direct/tests/test_upstream_restart.py
+++ b/packages/router/plantaincart_router/direct/tests/test_upstream_restart.py
@@ -9,10 +9,12 @@
 from time import monotonic
 
 import pytest
+from plantaincart_core.keymove import KeyMove
 from plantaincart_router.direct.tests.fakes import FAST, make_record
 from plantaincart_router.direct.tests.memorysystem import (
     SAMPLE_KEYS,
     OwnerWatch,
+    find_other_owner,
     run_system,
     wait_for,
 )
@@ -108,3 +110,30 @@
             instance.view.directory.put(moved, monotonic())
         await wait_for(system.all_keys_owned, FAST.hold_s / 2.0)
         watch.stop()
+
+
+async def test_target_of_a_move_restarts_before_it_has_answered():
+    """Guards against a retry that gives the later process the same fencing token."""
+    async with run_system(get_running_loop()) as system:
+        watch = OwnerWatch(system)
+        coordinator = system.find_coordinator()
+        target = system.upstreams[find_other_owner(system, 50)]
+        record_accepted = coordinator.grants.record_accepted
+        restarts = []
+
+        def restart_at_grant(upstream, key_range):
+            record_accepted(upstream, key_range)
+            if upstream is target and key_range.first == 0 and not restarts:
+                restarts.append(key_range)
+                upstream.lose_answers = 1
+                upstream.restart()
+
+        coordinator.grants.record_accepted = restart_at_grant
+        placement = coordinator.follower.coordinator._placements["ledger"]
+        source = placement.owners.find(50).owner
+        await placement._carry_out(
+            [KeyMove(first=0, last=100, source=source, target=target.name)]
+        )
+        await wait_for(lambda: restarts and system.all_keys_owned())
+        watch.stop()
+        assert system.all_maps_agree()
--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -34,11 +34,19 @@
         Makes grant and release calls.
     registry : UpstreamRegistry
         Addresses of the upstreams.
+    next_fencing_token : callable
+        Returns a fencing token that is higher than all previous ones.
     """
 
-    def __init__(self, granter: Granter, registry: UpstreamRegistry) -> None:
+    def __init__(
+        self,
+        granter: Granter,
+        registry: UpstreamRegistry,
+        next_fencing_token: Callable[[], int],
+    ) -> None:
         self._granter = granter
         self._registry = registry
+        self._next_fencing_token = next_fencing_token
         self._mean_release_s = INITIAL_RELEASE_S
 
     def estimate_free_in_s(self, sources: Iterable[KeyRange]) -> float:
@@ -88,7 +96,9 @@
         )
         return is_elsewhere or self._granter.grant_expiry(*process) <= monotonic()
 
-    async def move(self, key_range: KeyRange, sources: Iterable[KeyRange]) -> bool:
+    async def move(
+        self, key_range: KeyRange, sources: Iterable[KeyRange]
+    ) -> KeyRange | None:
         """
         Release keys from their previous owners, then grant them to the new one.
 
@@ -101,17 +111,17 @@
 
         Returns
         -------
-        bool
-            Whether the new owner confirmed the grant.
+        KeyRange or None
+            The keys with the token that the new owner confirmed; None if it didn't.
         """
         answers = await gather(
             *(self._release(source, key_range) for source in sources)
         )
         handover = next((answer for answer in answers if answer), "")
         record = self._registry.find_announced(key_range.owner, key_range.born)
-        return record is not None and await self._grant_with_retries(
-            record, key_range, handover
-        )
+        if record is None:
+            return None
+        return await self._grant_with_retries(record, key_range, handover)
 
     async def _release(self, source: KeyRange, key_range: KeyRange) -> str:
         process = (source.owner, source.born)
@@ -134,15 +144,18 @@
 
     async def _grant_with_retries(
         self, record: UpstreamRecord, key_range: KeyRange, handover: str
-    ) -> bool:
+    ) -> KeyRange | None:
         for _ in range(GRANT_ATTEMPTS):
             if not self._granter.enabled:
-                return False
+                return None
             granted = await self.grant_once(record, key_range, handover)
             if granted is not None:
-                return granted
+                return key_range if granted else None
+            # A call without an answer may have reached an earlier process than the
+            # next one, and no two processes may get the same token.
+            key_range = replace(key_range, fence=self._next_fencing_token())
             await sleep(GRANT_RETRY_DELAY_S)
-        return False
+        return None
 
     async def grant_once(
         self,
