Keep tokens that were confirmed while a write of moves failed

Only the planned moves are undone now.

Evidence: test_grant_confirmed_during_a_failed_write_keeps_its_token failed before.

--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -315,6 +315,7 @@
             moving.add(key_range)
         if not started:
             return
+        planned_ranges = set(self.owners)
         try:
             await self._writer.write(self._service, self.describe_row)
         except StoreUnavailableError as error:
@@ -322,7 +323,11 @@
             # coordinator releases the keys from the old owners, which the row names,
             # before it grants them to the new ones.
             write_event("moves_not_written", service=self._service, error=str(error))
+            confirmed = [item for item in self.owners if item not in planned_ranges]
             self.owners = OwnerMap(previous_ranges)
+            for key_range in confirmed:
+                # Its grant was repeated with a new token meanwhile.
+                self.owners.assign(key_range)
             for key_range, _ in started:
                 self._previous_owners.pop((key_range.first, key_range.last), None)
             raise
--- a/packages/router/plantaincart_router/direct/tests/test_coordinator.py
+++ b/packages/router/plantaincart_router/direct/tests/test_coordinator.py
@@ -4,9 +4,12 @@
 from dataclasses import replace
 from time import monotonic
 
+import pytest
+from plantaincart_core.keymove import KeyMove
 from plantaincart_core.ownermap import KEY_COUNT
 from plantaincart_router.direct.ownershiptable import OWNERSHIP_TABLE
 from plantaincart_router.direct.settings import ResourceSettings
+from plantaincart_router.direct.store import StoreUnavailableError
 from plantaincart_router.direct.termrow import COORDINATOR_TABLE
 from plantaincart_router.direct.tests.fakes import FAST, make_record
 from plantaincart_router.direct.tests.memorysystem import (
@@ -341,3 +344,26 @@
         )
         requests.cancel()
         await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree())
+
+
+async def test_grant_confirmed_during_a_failed_write_keeps_its_token():
+    """Guards against renewals under a token that the owners don't show any more."""
+    async with run_system(get_running_loop()) as system:
+        coordinator = system.find_coordinator().follower.coordinator
+        placement = coordinator._placements["ledger"]
+        write = placement._writer.write
+        source, confirmed = placement.owners.find(50), placement.owners.find(60000)
+        confirmed = replace(confirmed, fence=placement._writer.next_fencing_token())
+
+        async def fail_to_write(service, describe):
+            placement.owners.assign(confirmed)
+            raise StoreUnavailableError("refused", False)
+
+        target = next(name for name in system.upstreams if name != source.owner)
+        move = KeyMove(first=0, last=50, source=source.owner, target=target)
+        placement._writer.write = fail_to_write
+        with pytest.raises(StoreUnavailableError):
+            await placement._carry_out([move])
+        placement._writer.write = write
+        assert placement.owners.find(60000) == confirmed
+        assert placement.owners.find(50) == source
