Give keys back to the only upstream of a service after it started again

Callers of a service with one upstream were refused for good once it had started again under its id. Cause: keys of a lost owner were offered to other ids only, although the later process is another one. Change: the later process is taken if no other upstream accepts keys.

Evidence: test_only_upstream_of_a_service_gets_its_keys_back failed before (5 s without an owner).

--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -169,6 +169,11 @@
         moves: list[KeyMove] = []
         for key_range in unowned[:MAX_UNOWNED_RANGES]:
             candidates = [owner for owner in receivers if owner.id != key_range.owner]
+            if not candidates:
+                # Only a later process of the owner is left.
+                candidates = [
+                    owner for owner in receivers if owner.born != key_range.born
+                ]
             if not candidates:
                 continue
             for first, last, load in self._key_loads.divide(
--- a/packages/router/plantaincart_router/direct/tests/test_upstream_restart.py
+++ b/packages/router/plantaincart_router/direct/tests/test_upstream_restart.py
@@ -137,3 +137,25 @@
         await wait_for(lambda: restarts and system.all_keys_owned())
         watch.stop()
         assert system.all_maps_agree()
+
+
+async def test_only_upstream_of_a_service_gets_its_keys_back():
+    """Guards against keys that no other upstream could take, and that nobody serves."""
+    async with run_system(get_running_loop(), upstreams=1) as system:
+        watch = OwnerWatch(system)
+        system.upstreams["u0"].restart()
+        announce(system)
+        await wait_for(lambda: system.all_keys_owned() and system.all_maps_agree())
+        watch.stop()
+
+
+async def test_stored_address_is_that_of_the_latest_process():
+    """Guards against a release that a successor sends to an ended process."""
+    async with run_system(get_running_loop()) as system:
+        coordinator = system.find_coordinator()
+        registry = coordinator.follower.coordinator._placements["ledger"]._registry
+        moved = make_record("u1", born=2, port=2)
+        coordinator.view.directory.put(moved, monotonic())
+        registry.record_announced()
+        for processes in ([("u1", 2), ("u1", 1)], [("u1", 1), ("u1", 2)]):
+            assert registry.list_addresses(processes) == {"u1": "127.0.0.1:2"}
