--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -34,11 +34,19 @@
         Makes grant and release calls.
     registry : UpstreamRegistry
         Addresses of the upstreams.
+    next_fencing_token : callable
+        Returns a fencing token that is higher than all previous ones.
     """
 
-    def __init__(self, granter: Granter, registry: UpstreamRegistry) -> None:
+    def __init__(
+        self,
+        granter: Granter,
+        registry: UpstreamRegistry,
+        next_fencing_token: Callable[[], int],
+    ) -> None:
         self._granter = granter
         self._registry = registry
+        self._next_fencing_token = next_fencing_token
         self._mean_release_s = INITIAL_RELEASE_S
 
     def estimate_free_in_s(self, sources: Iterable[KeyRange]) -> float:
@@ -64,12 +72,33 @@
         if not source.owner:
             return 0.0
         process = (source.owner, source.born)
-        is_announced = self._registry.find_announced(*process) is not None
-        if is_announced and not self._granter.is_failing(*process):
+        if self._have_grants_ended(process):
+            return 0.0
+        later = self._registry.find_later(*process)
+        record = later or self._registry.find_announced(*process)
+        if record is not None and not self._granter.is_failing(record.id, record.born):
             return self._mean_release_s
         return max(self._granter.estimate_grant_expiry(*process) - monotonic(), 0.0)
 
-    async def move(self, key_range: KeyRange, sources: Iterable[KeyRange]) -> bool:
+    def _have_grants_ended(self, process: tuple[str, int]) -> bool:
+        """
+        Whether a later process is known that can't hold what was granted to one.
+
+        Calls say which id they are for, not which process. A later process at the same
+        address may have accepted those that were made before it was announced.
+        """
+        later = self._registry.find_later(*process)
+        if later is None:
+            return False
+        record = self._registry.find(*process)
+        is_elsewhere = record is not None and (
+            (record.host, record.port) != (later.host, later.port)
+        )
+        return is_elsewhere or self._granter.grant_expiry(*process) <= monotonic()
+
+    async def move(
+        self, key_range: KeyRange, sources: Iterable[KeyRange]
+    ) -> KeyRange | None:
         """
         Release keys from their previous owners, then grant them to the new one.
 
@@ -82,28 +111,28 @@
 
         Returns
         -------
-        bool
-            Whether the new owner confirmed the grant.
+        KeyRange or None
+            The keys with the token that the new owner confirmed; None if it didn't.
         """
         answers = await gather(
             *(self._release(source, key_range) for source in sources)
         )
         handover = next((answer for answer in answers if answer), "")
         record = self._registry.find_announced(key_range.owner, key_range.born)
-        return record is not None and await self._grant_with_retries(
-            record, key_range, handover
-        )
+        if record is None:
+            return None
+        return await self._grant_with_retries(record, key_range, handover)
 
     async def _release(self, source: KeyRange, key_range: KeyRange) -> str:
         process = (source.owner, source.born)
-        is_unchanged = process == (key_range.owner, key_range.born)
-        if not source.owner or is_unchanged or self._registry.has_restarted(*process):
+        is_kept = source.owner == key_range.owner and source.born <= key_range.born
+        if not source.owner or is_kept or self._have_grants_ended(process):
             return ""
-        record = self._registry.find(*process)
+        record = self._registry.find_later(*process) or self._registry.find(*process)
         if record is not None:
             part = replace(key_range, first=source.first, last=source.last)
             started_at = monotonic()
-            handover = await self._granter.release(record, part)
+            handover = await self._granter.release(record, part, source.born)
             if handover is not None:
                 elapsed_s = monotonic() - started_at
                 self._mean_release_s += RELEASE_SMOOTHING * (
@@ -115,15 +144,18 @@
 
     async def _grant_with_retries(
         self, record: UpstreamRecord, key_range: KeyRange, handover: str
-    ) -> bool:
+    ) -> KeyRange | None:
         for _ in range(GRANT_ATTEMPTS):
             if not self._granter.enabled:
-                return False
+                return None
             granted = await self.grant_once(record, key_range, handover)
             if granted is not None:
-                return granted
+                return key_range if granted else None
+            # A call without an answer may have reached an earlier process than the
+            # next one, and no two processes may get the same token.
+            key_range = replace(key_range, fence=self._next_fencing_token())
             await sleep(GRANT_RETRY_DELAY_S)
-        return False
+        return None
 
     async def grant_once(
         self,
