Send a request never again on a connection on which it was rejected

Callers saw: a request that an upstream with free slots rejected was sent to the owner of its key again. The upstream wrote the first rejection once more on the kept connection, with the same id, and it was taken for the answer to the second attempt. The request ran a second time (TWICE), or its caller was told "not run" while it ran (REFUSED).

Cause: answers are matched by the request's id, but all attempts of a request carry the same id, and the pool gives out the connection that was used last.

Ruled out: copies with another request's id are discarded, bytes behind a complete answer and bytes that arrive while no request waits close the connection (both have tests).

Change: a connection keeps the ids of the requests that were rejected on it, and isn't used for them again. The rule is that of the pool, so it holds for relayed attempts and for ids that come again, too. Closing each connection after a rejection would be simpler, and cost a new connection for each rejection of a full upstream. Now a new one is needed only for a repeat at the same upstream without another idle connection, and after 64 rejections.

--- a/packages/router/plantaincart_router/direct/pool.py
+++ b/packages/router/plantaincart_router/direct/pool.py
@@ -18,6 +18,9 @@
 # request might be sent while the upstream closes it.
 IDLE_TIMEOUT_SHARE = 0.7
 MAX_IDLE_CONNECTIONS = 4
+# Rejected requests after which a connection is closed, so that their ids take little
+# memory.
+MAX_REJECTED_IDS = 64
 # Seconds within which an upstream with too many connections closes a new one: several
 # round trips. If an upstream has done so recently, requests are held back for this time
 # on a new connection.
@@ -60,7 +63,7 @@
         self._idle: dict[tuple[str, int], list[tuple[HttpConnection, float]]] = {}
 
     def acquire_idle(
-        self, record: UpstreamRecord, max_silence_s: float
+        self, record: UpstreamRecord, max_silence_s: float, request_id: str
     ) -> HttpConnection | None:
         """
         Remove an idle connection from the pool and return it.
@@ -71,6 +74,9 @@
             Upstream to connect to.
         max_silence_s : float
             Maximum time in seconds since the last answer on the connection.
+        request_id : str
+            Id of the request to be sent. A connection on which it was rejected before
+            isn't returned, since a late copy of that answer has the same id.
 
         Returns
         -------
@@ -79,16 +85,16 @@
         """
         idle = self._idle.get((record.id, record.born), [])
         now = monotonic()
-        while idle:
-            connection, expires_at = idle[-1]
-            silence_s = now - connection.last_answer_at
-            if connection.reusable and now < expires_at and silence_s < max_silence_s:
-                idle.pop()
+        for at in reversed(range(len(idle))):
+            connection, expires_at = idle[at]
+            if not connection.reusable or now >= expires_at:
+                del idle[at]
+                connection.close()
+            elif request_id not in connection.rejected_ids:
+                if now - connection.last_answer_at >= max_silence_s:
+                    return None
+                del idle[at]
                 return connection
-            if connection.reusable and now < expires_at:
-                return None
-            idle.pop()
-            connection.close()
         return None
 
     async def open(self, record: UpstreamRecord, timeout_s: float) -> HttpConnection:
@@ -166,7 +172,8 @@
             Idle timeout in seconds that the upstream has announced, if any.
         """
         idle = self._idle.setdefault((record.id, record.born), [])
-        if not connection.reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
+        is_kept = connection.reusable and len(idle) < MAX_IDLE_CONNECTIONS
+        if not is_kept or len(connection.rejected_ids) >= MAX_REJECTED_IDS:
             connection.close()
             return
         keep_s = self._settings.keep_s
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -158,7 +158,7 @@
         """Remove an idle connection that a request may use from its pool."""
         settings = self._settings
         max_silence_s = settings.keep_s if attempt.idempotent else settings.fresh_s
-        return self._pools.acquire_idle(record, max_silence_s)
+        return self._pools.acquire_idle(record, max_silence_s, attempt.request_id)
 
     async def exchange(self, attempt: Attempt, record: UpstreamRecord) -> HttpAnswer:
         """Send a request on an idle connection, or on a new one."""
@@ -236,7 +236,9 @@
         self._view.quotas.record_answer(
             record, metadata.limit_per_s, sent_at, monotonic()
         )
-        if not metadata.not_run:
+        if metadata.not_run:
+            connection.rejected_ids.add(attempt.request_id)
+        else:
             self._view.crashes.record_answer(
                 attempt.request, record.service, monotonic()
             )
--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -43,6 +43,8 @@
     last_answer_at : float
         Loop time in seconds when the last complete answer arrived, or when the
         connection was opened.
+    rejected_ids : set of str
+        Ids of requests that the server rejected on this connection, kept by its user.
 
     Notes
     -----
@@ -76,6 +78,7 @@
         self._send_timeout: SendTimeout | None = None
         self._read_pause = ReadPause(self._loop, self._buffers.held_bytes)
         self.last_answer_at = 0.0
+        self.rejected_ids: set[str] = set()
 
     @classmethod
     async def open(
