Believe an answer without an id only as the first one on a connection

Callers saw: a request that may run once ran at two upstreams (TWICE), or its caller was told "not run" while it ran (REFUSED), after an upstream had written a rejection without an id on a kept connection.

Cause: any answer of status 400 or more without an id was taken for the answer to the request in progress. On a kept connection it may be a late one to an earlier request. An answer with two ids was judged by the first alone.

Change: an answer without an id belongs to a request only if no request was sent on its connection before and no other answer came on it; all ids of an answer must be that of the request. Other answers are discarded, so that the true one is delivered if it follows; without it the request ends as one that may have run. A request without an id, which can't be told from others, gets a new connection.

The relay judges for the instance that asked.

Evidence: five of the tests added to test_repeated_refusals.py failed before (2 runs of r2, and 1 connection in place of 2), and pass now. Those with another request's id, and with the copy in one write with the answer before it, passed before and stay as guards.

--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -170,8 +170,22 @@
         """Parse the header fields of an upstream's answer."""
 
     @abstractmethod
-    def belongs_to_request(self, answer: HttpAnswer, request_id: str) -> bool:
-        """Whether an answer belongs to the request with an id."""
+    def belongs_to_request(
+        self, answer: HttpAnswer, request_id: str, is_first: bool
+    ) -> bool:
+        """
+        Whether an answer belongs to a request.
+
+        Parameters
+        ----------
+        answer : HttpAnswer
+            Answer as received.
+        request_id : str
+            Id of the request; empty if it has none.
+        is_first : bool
+            Whether no other request was sent and no other answer came on the
+            connection. Only then can an answer without an id belong to the request.
+        """
 
     @abstractmethod
     def write_answer(self, answer: HttpAnswer) -> HttpAnswer:
--- a/packages/router/plantaincart_router/direct/relaytransport.py
+++ b/packages/router/plantaincart_router/direct/relaytransport.py
@@ -201,7 +201,8 @@
         outcome, answer, _ = read_outcome(answer)
         if outcome is not RelayOutcome.ANSWERED:
             return True
-        return self._header_codec.belongs_to_request(answer, request_id)
+        # Whether an answer without an id belongs to the request, the relay has decided.
+        return self._header_codec.belongs_to_request(answer, request_id, True)
 
     def _skip(self, relay: str) -> None:
         self._skipped_until[relay] = monotonic() + RELAY_RETRY_S
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -467,8 +467,9 @@
             limit_per_s=float(limit) if limit else None,
         )
 
-    def belongs_to_request(self, answer, request_id):
-        return find_header(answer.headers, "id") in (None, request_id)
+    def belongs_to_request(self, answer, request_id, is_first):
+        ids = {value for name, value in answer.headers if name == "id"}
+        return ids == {request_id} if ids else is_first
 
     def write_answer(self, answer):
         return answer
--- a/packages/router/plantaincart_router/direct/tests/test_repeated_refusals.py
+++ b/packages/router/plantaincart_router/direct/tests/test_repeated_refusals.py
@@ -1,5 +1,7 @@
 """Upstreams that write an earlier refusal once more on a kept connection."""
 
+from time import monotonic
+
 import pytest
 from plantaincart_router.direct.relaycodec import read_outcome, write_relayed
 from plantaincart_router.direct.tests.fakes import make_plan
@@ -10,6 +12,7 @@
     verdict,
 )
 from plantaincart_router.http.caller import CallerConnection
+from plantaincart_router.http.message import HttpRequest, find_header
 
 INTERIM = "HTTP/1.1 102 Processing\r\n\r\n"
 
@@ -123,3 +126,65 @@
             relayed = write_relayed(request, record, 1.0, False)
             await gateway.relay.handle(relayed, CallerConnection())
     assert upstream.connections == 2
+
+
+COPIES = [
+    ("other id", write_refusal, "", False),
+    ("no id", lambda request_id: write_refusal(), "", False),
+    ("no id, after interim", lambda request_id: write_refusal(), INTERIM, False),
+    ("no id, after another's", lambda request_id: write_refusal(),
+     write_refusal("other"), False),
+    ("two ids", lambda request_id: write_answer(
+        503, fields=f"id: r2\r\nid: {request_id}\r\nnot-run: 1\r\n"), "", False),
+    ("in one write", write_refusal, "", True),
+    ("no id, in one write", lambda request_id: write_refusal(), "", True),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("make_copy", "before", "one_write"),
+    [row[1:] for row in COPIES],
+    ids=[row[0] for row in COPIES],
+)
+async def test_copy_isnt_taken_for_the_answer_to_the_next_request(
+    make_copy, before, one_write
+):
+    """A refusal that names no request made the next one run at a second upstream."""
+    upstream = RepeatingUpstream(0, make_copy, before, one_write)
+    other = RepeatingUpstream()
+    plan = make_plan(keyed=False, idempotent=False)
+    async with run_gateway(upstream, other, plan=plan) as (gateway, view):
+        second = view.directory.get("u1")
+        view.directory.remove("u1", monotonic())
+        await call_gateway(gateway, request_id="r1")
+        view.directory.put(second, monotonic())
+        response = await call_gateway(gateway, request_id="r2")
+    check_promise(response, upstream, other, request_id="r2")
+    assert (response.status, response.body) == (200, b"ran")
+
+
+async def test_refusal_without_id_counts_on_a_new_connection():
+    """An upstream that refuses before it reads the request can't echo its id."""
+    upstream = RepeatingUpstream()
+    upstream.serve = _refuse_without_id
+    plan = make_plan(keyed=True, idempotent=False)
+    async with run_gateway(upstream, plan=plan) as (gateway, _):
+        response = await call_gateway(gateway)
+    assert (response.status, verdict(response)) == (503, "not-run")
+
+
+async def _refuse_without_id(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(write_refusal(load="").encode())
+    writer.close()
+
+
+async def test_request_without_id_gets_a_new_connection():
+    """No answer on a kept connection can be told to be that of such a request."""
+    upstream = RepeatingUpstream()
+    request = HttpRequest("POST", "/x", (("host", "a.example"), ("left-s", "1")))
+    async with run_gateway(upstream, plan=make_plan(keyed=False)) as (gateway, _):
+        await call_gateway(gateway, request_id="r1")
+        answer = await gateway.handle(request, CallerConnection())
+    assert find_header(answer.headers, "id") == ""
+    assert (answer.status, upstream.connections) == (200, 2)
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -156,6 +156,9 @@
         self, attempt: Attempt, record: UpstreamRecord
     ) -> HttpConnection | None:
         """Remove an idle connection that a request may use from its pool."""
+        if not attempt.request_id:
+            # Its answer can't be told from a late one to another request.
+            return None
         settings = self._settings
         max_silence_s = settings.keep_s if attempt.idempotent else settings.fresh_s
         return self._pools.acquire_idle(record, max_silence_s, attempt.request_id)
@@ -197,13 +200,20 @@
         request = self._header_codec.write_request(
             attempt.request, record.id, max(remaining_s, 0.001)
         )
+        is_first = is_new
+
+        def belongs(answer: HttpAnswer) -> bool:
+            nonlocal is_first
+            was_first, is_first = is_first, False
+            return self._belongs(answer, attempt.request_id, was_first, record)
+
         sent_at = monotonic()
         try:
             answer = await connection.exchange(
                 request,
                 remaining_s,
                 lambda: self._begin_write(attempt, record),
-                lambda answer: self._belongs(answer, attempt.request_id, record),
+                belongs,
                 attempt.progress.record_started,
             )
         except NotRunError:
@@ -254,9 +264,15 @@
         attempt.progress.record_sent()
 
     def _belongs(
-        self, answer: HttpAnswer, request_id: str, record: UpstreamRecord
+        self,
+        answer: HttpAnswer,
+        request_id: str,
+        is_first: bool,
+        record: UpstreamRecord,
     ) -> bool:
-        is_expected = self._header_codec.belongs_to_request(answer, request_id)
+        is_expected = self._header_codec.belongs_to_request(
+            answer, request_id, is_first
+        )
         if not is_expected:
             metadata = self._header_codec.read_answer(answer)
             record_leaving(self._view, record, metadata)
