Release keys on a connection of its own

Callers could see: two upstreams at work on the same keys (OWNER).

Cause: answers to grants and releases carry nothing that names their call, and all calls to an upstream share kept connections.

Change: each release uses a new connection, which is closed after it. A late copy of any other answer comes on another connection, and is never read as that of a release. Grants stay on kept connections, which renewals need: there a copy confirms at most a grant that the upstream didn't get, whose keys then aren't served; a grant that is refused is followed by a release before other upstreams get the keys.

Ruled out: to tell answers apart by the handover, which a grant's answer has not.

--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -74,6 +74,7 @@
         body: bytes = b"",
         timeout_s: float | None = None,
         reuse_only: bool = False,
+        own_connection: bool = False,
     ) -> HttpAnswer:
         """
         Send a request and return the answer.
@@ -92,6 +93,9 @@
             Limit in seconds for this call instead of the client's limit.
         reuse_only : bool
             Whether to use idle connections only, and fail if there is none.
+        own_connection : bool
+            Whether no other call may use the connection, before or after, so that no
+            late answer to another one can be taken for the answer.
 
         Returns
         -------
@@ -110,7 +114,7 @@
         request = HttpRequest(method, target, tuple(headers), body)
         self._calls_in_progress += 1
         try:
-            kept = self._pop_idle()
+            kept = None if own_connection else self._pop_idle()
             connection = kept or await self._open(deadline - loop.time(), reuse_only)
             try:
                 answer = await connection.exchange(request, deadline - loop.time())
@@ -123,7 +127,8 @@
             raise
         finally:
             self._calls_in_progress -= 1
-        if connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        is_kept = connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS
+        if is_kept and not own_connection:
             self._idle.append(connection)
         else:
             connection.close()
