--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -104,6 +104,7 @@
         headers: Sequence[Header] = (),
         body: bytes = b"",
         timeout_s: float | None = None,
+        own_connection: bool = False,
     ) -> ConnectionAnswer:
         """
         Send a request and return the answer with its connection.
@@ -123,6 +124,9 @@
             Request body.
         timeout_s : float, optional
             Limit in seconds for this call instead of the client's limit.
+        own_connection : bool
+            Whether no other call may use the connection, before or after, so that no
+            late answer to another one can be taken for the answer.
 
         Returns
         -------
@@ -141,7 +145,7 @@
         request = HttpRequest(method, target, tuple(headers), body)
         self._calls_in_progress += 1
         try:
-            kept = self._pop_idle(connection_number)
+            kept = None if own_connection else self._pop_idle(connection_number)
             if kept is None and connection_number is not None:
                 raise ConnectFailedError(f"{self._address}: no connection kept")
             connection = kept or await self._open(deadline - loop.time())
@@ -156,7 +160,8 @@
             raise
         finally:
             self._calls_in_progress -= 1
-        if connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        is_kept = connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS
+        if is_kept and not own_connection:
             self._idle.append(connection)
         else:
             connection.close()
