--- a/packages/core/plantaincart_core/tests/handovermodel.py
+++ b/packages/core/plantaincart_core/tests/handovermodel.py
@@ -102,20 +102,6 @@
             is_long = term.knows_long_grants
         return end + (LONG_HOLD if is_long else HOLD)
 
-    def stop_coordinator(self) -> None:
-        """Stop the last coordinator as planned, if that is in an outage."""
-        for name, instance, term in reversed(self.list_terms()):
-            if term.is_prolonged and self.is_valid(name, term):
-                silence = self.now - instance.store_answered_at
-                is_long = silence >= LONG_GRANT_SILENCE
-                if is_long or not self.rules.long_grants_known:
-                    self._grant(name, term, LONG_HOLD)
-                    for other, follower in self.instances.items():
-                        if self.reaches(name, other):
-                            follower.knows_long_grants = True
-                self.restart(name, is_up=False)
-                return
-
     def restart(self, name: str, is_up: bool = True) -> None:
         """Kill an instance, and start it again if it is to be up."""
         self.instances[name] = Instance(
@@ -126,26 +112,6 @@
             earlier_heard_at=self.now,
         )
 
-    def kill_coordinator(self) -> None:
-        """Kill the last coordinator for good."""
-        for name, _, _ in self.list_terms()[-1:]:
-            self.restart(name, is_up=False)
-
-    def restart_upstream(self, name: str) -> None:
-        """Kill an upstream and start it under its id; its entry is in the store."""
-        born = self.upstreams[name].born + 1
-        self.upstreams[name] = Upstream(born=born, entry=born)
-
-    def write_odd_entry(self, name: str) -> None:
-        """Write an entry that can't be of the upstream that it names."""
-        if not self.rules.entries_checked:
-            self.upstreams[name] = self.upstreams[name]._replace(entry=99)
-
-    def move_key(self) -> None:
-        """Have the last coordinator move the key."""
-        for _, _, term in self.list_terms()[-1:]:
-            term.wants_move = True
-
     def describe(self) -> str:
         """Return a line on the coordinators and owners."""
         words = [f"tick {self.now}: row {self.row.holder}/{self.row.epoch}"]
@@ -275,7 +241,7 @@
                 instance.heard_epoch = term.row.epoch
             instance.heard_at = instance.notice_at = self.now
 
-    def _grant(self, name: str, term: Term, hold: int) -> bool:
+    def grant(self, name: str, term: Term, hold: int) -> bool:
         """Grant the key to its owner; return whether the owner answered."""
         owner = term.key.owner
         if not self.reaches(name, owner):
@@ -303,7 +269,7 @@
         if not (has_restarted or is_silent or term.wants_move):
             if term.key.token[0] < term.row.epoch:
                 term.key = term.key._replace(token=(term.row.epoch, 1))
-            if self._grant(name, term, HOLD):
+            if self.grant(name, term, HOLD):
                 term.answered_at = self.now
             return
         others = [other for other in UPSTREAMS if other != owner]
@@ -319,7 +285,7 @@
             self.top_token = token
             self.key = term.key = Key(others[0], born, token)
             term.answered_at, term.wants_move = self.now, False
-            self._grant(name, term, HOLD)
+            self.grant(name, term, HOLD)
 
     def _is_released(
         self, name: str, term: Term, instance: Instance, has_restarted: bool
--- a/packages/core/plantaincart_core/tests/handoversearch.py
+++ b/packages/core/plantaincart_core/tests/handoversearch.py
@@ -1,13 +1,13 @@
 """Search of the model of hand-overs through all orders of faults, breadth first."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from itertools import combinations
-from math import inf
 from sys import argv
 from typing import NamedTuple
 
+from plantaincart_core.tests.handoverfault import FAULTS
 from plantaincart_core.tests.handovermodel import (
     Handover,
     HandoverError,
@@ -15,46 +15,7 @@
 )
 from plantaincart_core.tests.handoverstate import HandoverRules
 
-__all__ = ["FAULTS", "Bounds", "Result", "search"]
-
-OUTAGE = "a-store b-store c-store"
-OWNER = "a-u0 b-u0 c-u0"
-
-
-def _restart(*names: str) -> Callable[[Handover], None]:
-    def restart(state: Handover) -> None:
-        for name in names:
-            state.restart(name)
-
-    return restart
-
-
-def _block(
-    links: str, kind: str = "cut", ticks: float = inf
-) -> Callable[[Handover], None]:
-    return lambda state: state.block(links, kind, ticks)
-
-
-FAULTS: dict[str, Callable[[Handover], None]] = {
-    "store silent for 12 ticks": _block(OUTAGE, ticks=12),
-    "store silent for a": _block("a-store"),
-    "store refuses writes of a": _block("a-store", "refuse writes"),
-    "u0 cut off": _block(OWNER),
-    "answers of u0 lost": _block(OWNER, "lose answers"),
-    "a u0 | b c, store between": _block("a-b a-c b-u0 c-u0", ticks=9),
-    "a u0 | b c store": _block("a-b a-c a-store b-u0 c-u0"),
-    "a b u0 | c store": _block("a-c b-c a-store b-store c-u0"),
-    "a b | c store, upstreams between": _block("a-c b-c a-store b-store"),
-    "a b u0 | c store for 9 ticks": _block("a-c b-c a-store b-store c-u0", ticks=9),
-    "b restarts": _restart("b"),
-    "b and c restart": _restart("b", "c"),
-    "coordinator stops as planned": Handover.stop_coordinator,
-    "coordinator is killed": Handover.kill_coordinator,
-    "key moves": Handover.move_key,
-    "u0 restarts": lambda state: state.restart_upstream("u0"),
-    "u0 restarts again": lambda state: state.restart_upstream("u0"),
-    "odd entry of u0": lambda state: state.write_odd_entry("u0"),
-}
+__all__ = ["Bounds", "Result", "search"]
 
 
 @dataclass(frozen=True)
--- a/packages/core/plantaincart_core/tests/test_handover.py
+++ b/packages/core/plantaincart_core/tests/test_handover.py
@@ -54,6 +54,8 @@
     ),
 }
 LEAST_STATES = 1000
+# Found as terms that overlap, before two upstreams own the key.
+OVERLAPPING = {"electors_needed", "only_writes_confirm"}
 
 
 @mark.parametrize("rule", SEARCHES)
@@ -67,4 +69,5 @@
 def test_rule_is_needed(rule):
     result = search(replace(HandoverRules(), **{rule: False}), SEARCHES[rule])
     assert result.trace, f"no violation in {result.states} states"
-    assert result.trace[-1].startswith("two owners") or "is valid" in result.trace[-1]
+    expected = "is valid" if rule in OVERLAPPING else "two owners"
+    assert expected in result.trace[-1], "\n".join(result.trace)
