Move no keys before all earlier terms have ended

A successor moved keys as soon as their owner had answered the release. An earlier coordinator may still act then, on the other side of a cut: the owner refuses its grants by the token of the release, but if it starts again under its id it knows no tokens and accepts them, while another upstream has the key.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -178,6 +178,23 @@
         previous = self._grant_expiries.get((upstream, born), 0.0)
         self._grant_expiries[upstream, born] = max(previous, expires_at)
 
+    @property
+    def have_earlier_ended(self) -> bool:
+        """Whether all earlier terms have ended, so that keys may be moved."""
+        return self._previous_term is None or self._previous_term.has_ended()
+
+    async def wait_for_earlier_end(self) -> None:
+        """
+        Wait until all earlier terms have ended.
+
+        An owner that has released keys refuses the grants of earlier coordinators, but
+        a later process of it would accept them.
+        """
+        while True:
+            if self.have_earlier_ended:
+                return
+            await sleep(EXPIRY_CHECK_INTERVAL_S)
+
     async def wait_for_expiry(self, upstream: str, born: int) -> None:
         """Wait until all grants to a process have expired."""
         while True:
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -174,10 +174,12 @@
         self._registry.record_announced()
         planner = self._planner
         owners = planner.list_owners(backed_off)
-        if self._granter.seems_cut_off or not any(
-            owner.accepts_keys for owner in owners.values()
+        if (
+            self._granter.seems_cut_off
+            or not self._granter.have_earlier_ended
+            or not any(owner.accepts_keys for owner in owners.values())
         ):
-            # Another upstream isn't reached either.
+            # Another upstream isn't reached either, or keys may not be moved yet.
             self._retry_failed_moves()
             return
         if self._moving or any(key_range.owner for key_range in self.owners):
--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -128,6 +128,7 @@
         is_kept = source.owner == key_range.owner and source.born <= key_range.born
         if not source.owner or is_kept or self._have_grants_ended(process):
             return ""
+        await self._granter.wait_for_earlier_end()
         record = self._registry.find_later(*process) or self._registry.find(*process)
         if record is not None:
             part = replace(key_range, first=source.first, last=source.last)
