Decode the store's steady clock

Answers about rows name a steady clock (`nowMs`). Its value in seconds is now a field of `TableRows`, and the store's client keeps the latest one with the boot time at which the answer came. A successor of a coordinator will need both to tell how old the coordinator's row is. Nothing uses them yet.

--- a/packages/router/plantaincart_router/direct/store.py
+++ b/packages/router/plantaincart_router/direct/store.py
@@ -11,6 +11,7 @@
 __all__ = [
     "HistoryLostError",
     "Store",
+    "StoreClock",
     "StoreConflictError",
     "StoreRow",
     "StoreUnavailableError",
@@ -78,10 +79,13 @@
         Rows, or changes in order.
     version : int
         Version of the store up to which the rows are current.
+    clock_s : float or None
+        Steady clock of the store in seconds when it answered; None if it names none.
     """
 
     rows: Sequence[StoreRow]
     version: int
+    clock_s: float | None = None
 
     @property
     def era(self) -> int:
@@ -89,6 +93,23 @@
         return split_version(self.version)[0]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreClock:
+    """
+    Steady clock of the store, as an answer named it.
+
+    Parameters
+    ----------
+    clock_s : float
+        The clock in seconds.
+    told_at : float
+        Boot time in seconds at which the answer came.
+    """
+
+    clock_s: float
+    told_at: float
+
+
 class Store(ABC):
     """
     Tables of versioned rows with conditional writes and a change feed.
@@ -97,6 +118,8 @@
     ----------
     era : int
         Highest era that the store has stated in an answer; 0 if it states none.
+    clock : StoreClock or None
+        Clock in the latest answer that named one.
 
     Notes
     -----
@@ -108,6 +131,7 @@
     """
 
     era: int = 0
+    clock: StoreClock | None = None
 
     @abstractmethod
     async def read(self, table: str) -> TableRows:
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -14,6 +14,7 @@
     WeightedService,
 )
 from plantaincart_core.upstreamload import LoadSettings
+from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.interface import (
     AnswerMetadata,
     GrantCalls,
@@ -32,6 +33,7 @@
 from plantaincart_router.direct.store import (
     HistoryLostError,
     Store,
+    StoreClock,
     StoreConflictError,
     StoreRow,
     StoreUnavailableError,
@@ -171,6 +173,7 @@
         self.answers_to_lose = 0
         self.oldest_version = 0
         self.changed = Event()
+        self.names_clock = True
 
     def client(self, name):
         return MemoryClient(self, name)
@@ -179,6 +182,10 @@
     def version(self):
         return join_version(self.era, self.counter)
 
+    @property
+    def clock_s(self):
+        return read_boot_time() if self.names_clock else None
+
     def copy(self):
         return self.counter, dict(self.rows)
 
@@ -205,7 +212,9 @@
     async def read(self, table):
         rows = [row for (name, _), row in self.rows.items() if name == table]
         return TableRows(
-            rows=[row for row in rows if not row.deleted], version=self.version
+            rows=[row for row in rows if not row.deleted],
+            version=self.version,
+            clock_s=self.clock_s,
         )
 
     async def watch(self, table, after, wait_s):
@@ -216,7 +225,7 @@
             for (name, _), row in self.rows.items()
             if name == table and row.version > after
         ]
-        return TableRows(rows=rows, version=self.version)
+        return TableRows(rows=rows, version=self.version, clock_s=self.clock_s)
 
     async def write(self, table, row, also=(), absent=()):
         for written in (row, *also):
@@ -244,11 +253,15 @@
 
     async def read(self, table):
         self._check()
-        return await self._store.read(table)
+        view = await self._store.read(table)
+        self._record_clock()
+        return view
 
     async def watch(self, table, after, wait_s):
         self._check()
-        return await self._store.watch(table, after, wait_s)
+        view = await self._store.watch(table, after, wait_s)
+        self._record_clock()
+        return view
 
     async def write(self, table, row, also=(), absent=()):
         self._check()
@@ -256,12 +269,18 @@
         if self._store.answers_to_lose:
             self._store.answers_to_lose -= 1
             raise StoreUnavailableError("answer lost")
+        self._record_clock()
         return version
 
     async def delete(self, table, key):
         self._check()
         await self._store.delete(table, key)
 
+    def _record_clock(self):
+        if self._store.names_clock:
+            now = read_boot_time()
+            self.clock = StoreClock(clock_s=now, told_at=now)
+
     def _check(self):
         if self._name in self._store.refused_clients:
             raise StoreUnavailableError("refused", False)
