Let a successor tell from the coordinator's row whether grants were prolonged

Callers would see keys that two upstreams own (OWNER) after a rolling restart in an outage of the store: a coordinator that is stopped then makes grants of 10 s instead of 3, so that keys stay served. Only notices told that, so that a process started in the outage expected 3 s, took the keys of owners out of its reach for free and granted them to others.

Grants are now prolonged only once the store has named no clock to the coordinator for `long_grants_after_s` (4.75 s), while most electors follow it. Its row names the store's clock that it knew when it wrote the row. A successor compares that with the store's clock at its own read: earlier grants can be long only if a term without the store can have lasted (`PreviousTerm`) until that silence was reached. After an outage the row itself says (`long_grants`) that long grants may be valid, until they have expired, and a successor hands clock and flag on until the earlier terms have ended. Where the store names no clock no grants are prolonged. For a row without a clock, of an earlier build, or of an era before a restoration, what notices told still counts.

4.75 s: with the interval of renewals below the 5.7 s of a shutdown, and above the 4.5 s that the clock of a row can be old when all processes are back 4 s after a kill, so that such a start waits no longer than before.

Cost: a coordinator stopped or lost in the first 4.75 s of an outage leaves grants of 3 s. Not covered: long grants made before a restoration of the store from a copy, whose successor was started after it and was told by no notice.

Ruled out: a bound of 10 s for every successor, which makes each takeover from a lost coordinator 7 s slower; a flag written before grants are prolonged, as the store doesn't answer then.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, TimerHandle, create_task, get_running_loop, sleep
 from collections.abc import Callable, Sequence
+from functools import partial
 from time import monotonic
 
 from plantaincart_core.ownermap import KeyRange
@@ -16,6 +17,7 @@
 from plantaincart_router.direct.feed import TableFeed
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
+from plantaincart_router.direct.longgrants import LongGrants
 from plantaincart_router.direct.membership import Membership
 from plantaincart_router.direct.noticewriter import NoticeWriter, make_change
 from plantaincart_router.direct.ownershiptable import OwnershipTable
@@ -118,7 +120,9 @@
             lambda: self._term.is_valid,
         )
         self._granter.on_refused = self._check_superseded
-        self._normal_grant_duration_s = self._granter.grant_duration_s
+        self._long_grants = LongGrants(
+            self._times, settings.bounds.max_hold_s, self._granter, previous_term
+        )
         self._sequence = 0
         self._members = Membership(self._times)
         self._placement_group = Placements(
@@ -143,6 +147,7 @@
             self.end,
             self._handle_confirmed,
             self._handle_reclaimed,
+            self._long_grants.may_be_valid,
         )
         self._cut_off_watch = CutOffWatch(
             self._times,
@@ -177,6 +182,7 @@
         )
         self._tasks: list[Task[None]] = []
         self._flush_timer: TimerHandle | None = None
+        self._is_stopping = False
         self.ended = False
 
     @property
@@ -260,10 +266,11 @@
             write_event("term_not_vacated", epoch=self.epoch, error=str(error))
             # The write may have taken effect although its answer was lost.
             await self._term.reread_row(str(error))
-            if is_stopping and self._term.is_store_lost_for_all:
-                # No other instance can take over during the outage, so grants must stay
-                # valid for as long as possible after this instance has stopped.
-                self._granter.grant_duration_s = self._settings.bounds.max_hold_s
+            if is_stopping and not self._is_stopping:
+                self._is_stopping = True
+                work = partial(self._long_grants.run, self._term)
+                task = create_task(self._run_guarded("prolong_grants", work))
+                self._tasks.append(task)
             return self.ended
         if vacated:
             self.end(reason)
@@ -333,7 +340,7 @@
             raise
 
     def _handle_confirmed(self) -> None:
-        self._granter.grant_duration_s = self._normal_grant_duration_s
+        self._long_grants.end()
         self._granter.refusing_processes.clear()
 
     def _check_superseded(self) -> None:
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -287,7 +287,7 @@
         if not await self._wait_for_better_candidates():
             return
         claimed_at = read_boot_time()
-        replaced_row = self._term.row
+        replaced_row, silent_s = self._term.row, self._term.measure_silence()
         row = await self._term.claim(
             self._settings.name, self._peer_address(self._settings), self._view.epoch
         )
@@ -307,19 +307,26 @@
             claimed_at,
             self._notify,
             self.feeds,
-            self._describe_previous_term(replaced_row),
+            self._describe_previous_term(replaced_row, silent_s),
         )
         self.coordinator.start()
         self._report()
 
-    def _describe_previous_term(self, row: CoordinatorRow | None) -> PreviousTerm:
+    def _describe_previous_term(
+        self, row: CoordinatorRow | None, silent_s: float | None
+    ) -> PreviousTerm:
         renewed_at = self._term.changed_at
         if row is None or not row.electors:
             # A coordinator of an earlier build acts in an outage although its row
             # doesn't change, and names no electors who would know it.
             renewed_at = max(renewed_at, self._outage_notice_at)
         previous_term = PreviousTerm(
-            self._times, row, renewed_at, self._estimate_previous_grant_duration_s()
+            self._times,
+            row,
+            renewed_at,
+            self._estimate_previous_grant_duration_s(),
+            self._settings.bounds.max_hold_s,
+            silent_s,
         )
         previous_term.record_left(self._settings.name, self._measure_earlier_silence())
         return previous_term
--- a/packages/router/plantaincart_router/direct/previousterm.py
+++ b/packages/router/plantaincart_router/direct/previousterm.py
@@ -25,7 +25,12 @@
     renewed_at : float
         Latest time in seconds at which the previous term can have been renewed.
     grant_duration_s : float
-        Grant duration that the previous coordinator may have used.
+        Longest grant duration that notices of the previous coordinator have named.
+    longest_grant_s : float, optional
+        Grant duration of a coordinator that is stopped in an outage of the store.
+    silent_s : float, optional
+        Seconds for which the previous coordinator may have had no answer of the store,
+        as its row shows; None if the row doesn't show it.
 
     Notes
     -----
@@ -38,6 +43,9 @@
 
     A coordinator keeps the electors of its predecessor until that one has ended, so
     that a chain of takeovers has the same ones.
+
+    It makes longer grants only after the store has been silent for
+    `long_grants_after_s`. That silence can't have begun before the clock in its row.
     """
 
     def __init__(
@@ -46,11 +54,20 @@
         row: CoordinatorRow | None,
         renewed_at: float,
         grant_duration_s: float,
+        longest_grant_s: float = 0.0,
+        silent_s: float | None = None,
     ) -> None:
         self._times = times
         self._row = row
         self._renewed_at = renewed_at
         self._grant_duration_s = grant_duration_s
+        self._longest_grant_s = max(grant_duration_s, longest_grant_s)
+        self._long_grants_from = inf
+        if silent_s is not None:
+            # The duration isn't taken from notices.
+            self._grant_duration_s = min(times.hold_s, self._longest_grant_s)
+            required_s = times.long_grants_after_s * (1.0 - times.clock_drift)
+            self._long_grants_from = monotonic() - silent_s + required_s
         self._last_heard_at: dict[str, float] = {}
         self._is_end_logged = False
 
@@ -95,31 +112,66 @@
 
     def find_end(self) -> float:
         """Return the time in seconds by which all earlier terms have ended."""
-        confirmed_until = self._renewed_at + self._times.confirmed_s
-        if self._row is None or not self._row.electors:
-            return confirmed_until
-        holder_left_at = self._last_heard_at.get(self._row.holder)
-        if holder_left_at is not None and self._row.earlier_ended:
-            # Its process has ended its term, or is a later one.
-            return holder_left_at
-        last_followed = find_last_followed(self._row.electors, self._last_heard_at)
-        followed_until = last_followed + self._times.followed_s
-        offline_until = self._renewed_at + self._times.offline_s
-        return max(confirmed_until, min(followed_until, offline_until))
+        left_at = self._find_holder_left()
+        if left_at is not None:
+            return left_at
+        return max(self._confirmed_until, self._find_offline_end())
 
     def find_last_expiry(self) -> float:
         """Return the time in seconds by which all earlier grants have expired."""
-        return self.find_end() + self._last_grant_s
+        return self._add_grant_duration(self.find_end(), self._find_offline_end())
 
     def estimate_last_expiry(self) -> float:
         """Return the same if the electors that are still missing report soon."""
-        confirmed_until = self._renewed_at + self._times.confirmed_s
-        end = min(self.find_end(), max(confirmed_until, monotonic()))
-        return end + self._last_grant_s
+        now = monotonic()
+        end = min(self.find_end(), max(self._confirmed_until, now))
+        return self._add_grant_duration(end, min(self._find_offline_end(), now))
+
+    def may_have_long_grants(self) -> bool:
+        """Whether grants of more than the normal duration are known to be possible."""
+        if self._row is None or monotonic() >= self.find_last_expiry():
+            return False
+        if self._row.long_grants:
+            return True
+        end = self._find_offline_end()
+        return self.find_end() <= monotonic() and end >= self._long_grants_from
 
     @property
-    def _last_grant_s(self) -> float:
-        """Seconds for which the last call of the previous coordinator has effect."""
+    def _confirmed_until(self) -> float:
+        return self._renewed_at + self._times.confirmed_s
+
+    def _find_holder_left(self) -> float | None:
+        """Return when the holder is known to have ended its term, the only one."""
+        if self._row is None or not self._row.electors or not self._row.earlier_ended:
+            return None
+        # Its process has ended its term, or is a later one.
+        return self._last_heard_at.get(self._row.holder)
+
+    def _find_offline_end(self) -> float:
+        """Return the time by which no earlier coordinator acts without the store."""
+        if self._row is None or not self._row.electors:
+            return -inf
+        left_at = self._find_holder_left()
+        if left_at is not None:
+            return left_at
+        last_followed = find_last_followed(self._row.electors, self._last_heard_at)
+        followed_until = last_followed + self._times.followed_s
+        return min(followed_until, self._renewed_at + self._times.offline_s)
+
+    def _add_grant_duration(self, end: float, offline_end: float) -> float:
+        """
+        Return the time at which the last grants of earlier coordinators expire.
+
+        Parameters
+        ----------
+        end : float
+            Time in seconds by which their terms have ended.
+        offline_end : float
+            Time in seconds by which they have ended that lasted without the store.
+        """
         times = self._times
-        duration_s = self._grant_duration_s * (1.0 + times.clock_drift)
-        return times.call_timeout_s + duration_s + times.hold_margin_s
+        is_known_long = self._row is not None and self._row.long_grants
+        is_long = is_known_long or offline_end >= self._long_grants_from
+        duration_s = self._longest_grant_s if is_long else self._grant_duration_s
+        max_duration_s = duration_s * (1.0 + times.clock_drift)
+        return end + times.call_timeout_s + max_duration_s + times.hold_margin_s
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -348,6 +348,11 @@
         that takeovers from a lost coordinator take no longer.
     hold_s : float
         Grant duration in seconds.
+    long_grants_after_s : float
+        Seconds without an answer of the store after which a coordinator that is being
+        stopped makes grants for longer. It must exceed `confirmed_s`, and the time for
+        which a kill and a start of all processes leave the coordinator's row unchanged;
+        with `renew_s`, it must be below the time for a shutdown.
     renew_s : float
         Seconds between renewals of a grant.
     call_timeout_s : float
@@ -383,6 +388,7 @@
     member_s: float = 1.5
     followed_s: float = 1.5
     hold_s: float = 3.0
+    long_grants_after_s: float = 4.75
     renew_s: float = 0.75
     call_timeout_s: float = 0.4
     release_timeout_s: float = 2.5
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -68,6 +68,8 @@
         Called whenever the row is confirmed to name this instance.
     on_reclaimed : callable
         Called when the term goes on in a later era, with a higher epoch.
+    may_have_long_grants : callable, optional
+        Returns whether grants of more than the normal duration may be valid.
 
     Attributes
     ----------
@@ -106,6 +108,7 @@
         end_term: Callable[[str], None],
         on_confirmed: Callable[[], None],
         on_reclaimed: Callable[[], None],
+        may_have_long_grants: Callable[[], bool] = lambda: False,
     ) -> None:
         self._times = times
         self._store = store
@@ -117,6 +120,7 @@
         self._end_term = end_term
         self._on_confirmed = on_confirmed
         self._on_reclaimed = on_reclaimed
+        self._may_have_long_grants = may_have_long_grants
         self._reclaimed_row: CoordinatorRow | None = None
         self._wake_event = Event()
         self._is_rechecking = False
@@ -153,6 +157,20 @@
         silences = self._members.list_store_silences(excluded=self.holder)
         return self.store_unreachable and self._is_outage(silences)
 
+    @property
+    def outlasts_silence(self) -> bool:
+        """
+        Whether the term is valid although the store has long been silent for all.
+
+        A successor tells from the clock in the row whether that is possible.
+        """
+        clock = self._store.clock
+        if clock is None or self._row.store_clock_s is None:
+            return False
+        silent_s = read_boot_time() - clock.told_at
+        is_long = silent_s >= self._times.long_grants_after_s
+        return is_long and self.is_store_lost_for_all and self.is_valid
+
     def close(self) -> None:
         """Stop the expiry timer and the renewals."""
         self._closed = True
@@ -199,7 +217,7 @@
             If the store doesn't answer.
         """
         try:
-            await self._write(replace(self._row, beat=self._row.beat + 1, vacant=True))
+            await self._write(replace(self._make_next_row(), vacant=True))
         except StoreConflictError as error:
             await self.reread_row(str(error))
             return False
@@ -257,7 +275,9 @@
             return
         row, version = find_term(view) or (self._row, 0)
         claimed = replace(
-            self._row, epoch=next_epoch(view.era, self.epoch, row.epoch), beat=0
+            self._make_next_row(),
+            epoch=next_epoch(view.era, self.epoch, row.epoch),
+            beat=0,
         )
         self._reclaimed_row = claimed
         try:
@@ -400,9 +420,19 @@
         offline_until = self._confirmed_at + self._times.offline_s
         return max(confirmed_until, min(followed_until, offline_until))
 
-    def _make_renewed_row(self) -> CoordinatorRow:
-        """Return the row with the next beat, and with electors among the members."""
+    def _make_next_row(self) -> CoordinatorRow:
+        """Return the row with the next beat, and with what it says of grants."""
+        long_grants = self._may_have_long_grants()
         row = replace(self._row, beat=self._row.beat + 1)
+        if not self._have_earlier_ended():
+            return replace(row, long_grants=row.long_grants or long_grants)
+        clock = self._store.clock
+        clock_s = row.store_clock_s if clock is None else clock.clock_s
+        return replace(row, long_grants=long_grants, store_clock_s=clock_s)
+
+    def _make_renewed_row(self) -> CoordinatorRow:
+        """Return the next row, with electors among the members."""
+        row = self._make_next_row()
         if not self._have_earlier_ended():
             return row
         members = {self.holder, *self._members.list_names()}
--- a/packages/router/plantaincart_router/direct/termwatch.py
+++ b/packages/router/plantaincart_router/direct/termwatch.py
@@ -1,10 +1,13 @@
 """The row that names the coordinator, as one instance reads and claims it."""
 
+from dataclasses import replace
+from math import inf
 from time import monotonic
 
-from plantaincart_core.era import may_claim_term, next_epoch
+from plantaincart_core.era import is_epoch_of_era, may_claim_term, next_epoch
 from plantaincart_schema.generated.direct import CoordinatorRow
 
+from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.settings import CoordinationSettings
 from plantaincart_router.direct.store import (
     Store,
@@ -53,6 +56,8 @@
         self._store = store
         self._is_era_claimed = True
         self._era_rows: list[StoreRow] = []
+        self._read_started_at = read_boot_time()
+        self._clock_s: float | None = None
         self.row: CoordinatorRow | None = None
         self.version = 0
         self.era = 0
@@ -78,7 +83,10 @@
         StoreUnavailableError
             If the store doesn't answer.
         """
-        return await self._store.read(COORDINATOR_TABLE)
+        started_at = read_boot_time()
+        view = await self._store.read(COORDINATOR_TABLE)
+        self._read_started_at = started_at
+        return view
 
     def apply(self, view: TableRows) -> CoordinatorRow | None:
         """
@@ -111,6 +119,7 @@
         if version != self.version or gap_s > self._times.unchanged_s * 2:
             self.changed_at = now
         old, self.row, self.version = self.row, row, version
+        self._clock_s = view.clock_s
         if row is None or row.vacant:
             return None
         is_new = old is None or (old.holder, old.epoch) != (row.holder, row.epoch)
@@ -133,6 +142,26 @@
         """
         self.row, self.changed_at = row, monotonic()
 
+    def measure_silence(self) -> float | None:
+        """
+        Return for how long the holder may have had no answer of the store.
+
+        Returns
+        -------
+        float or None
+            Seconds at most; infinity if the clocks can't be compared, None if the row
+            names no clock, or one before the store was restored.
+        """
+        row = self.row
+        if row is None or row.store_clock_s is None:
+            return None
+        if not is_epoch_of_era(row.epoch, self.era):
+            return None
+        if self._clock_s is None or self._clock_s < row.store_clock_s:
+            return inf
+        since_read_s = read_boot_time() - self._read_started_at
+        return self._clock_s - row.store_clock_s + since_read_s
+
     def may_claim(self, has_ended: bool) -> bool:
         """
         Return whether the term may be claimed.
@@ -172,15 +201,24 @@
         StoreUnavailableError
             If the store doesn't answer.
         """
+        earlier = self.row
         row = CoordinatorRow(
             holder=holder,
             address=address,
             epoch=next_epoch(self.era, epoch, self.known_epoch),
             beat=0,
             vacant=False,
-            # They stay until the earlier terms have ended.
-            electors=[] if self.row is None else self.row.electors,
         )
+        if earlier is not None:
+            # It stays until the earlier terms have ended.
+            row = replace(
+                row,
+                electors=earlier.electors,
+                long_grants=earlier.long_grants,
+                store_clock_s=(
+                    None if self.measure_silence() is None else earlier.store_clock_s
+                ),
+            )
         try:
             version = await self._store.write(
                 COORDINATOR_TABLE,
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -60,6 +60,7 @@
     member_s=0.3,
     followed_s=0.3,
     hold_s=0.5,
+    long_grants_after_s=0.6,
     renew_s=0.1,
     call_timeout_s=0.1,
     release_timeout_s=0.4,
