Refuse requests at once where no coordinator renews the grant of their key

Callers of keyed routes were held, and not served, for as long as no coordinator acted: after one was killed in an outage of the store, its grants lapse within 3 s, and owners answer 421. Cause: the instance waited up to 0.3 s for another owner after each 421 and tried three times, as in a move; then it told the caller to come back after 0.1 s. Requests for keys without an owner were parked for 1 s again after each 2 s without one.

`GrantLapses` (core) now decides without network: once an owner has refused a request while no notice has come for `silent_s`, later requests for the range are refused at once, as not run, except one in 0.5 s. A served request, another owner or token, or a notice ends that. Requests for keys without an owner aren't parked where no coordinator is heard. `Retry-After` is the time left of a usual takeover, then as long as the silence has lasted, within the usual bounds. While notices come, nothing changes. `where` explains it with the same code.

Ruled out: to refuse by the silence alone once grants must have lapsed. An instance that is cut off from its peers hears nobody, though its owners are renewed and serve; the first 421 of a range costs one send.

--- a/packages/router/plantaincart_router/direct/call.py
+++ b/packages/router/plantaincart_router/direct/call.py
@@ -61,6 +61,8 @@
         Whether its caller has probably been turned away before.
     admitted : bool
         Whether all entry policies have let it pass.
+    tries_lapsed : bool
+        Whether it is sent to learn if the owner of its key has a grant again.
     """
 
     request: HttpRequest
@@ -83,6 +85,7 @@
     turn_key: TurnKey | None = None
     is_returning: bool = False
     admitted: bool = False
+    tries_lapsed: bool = False
 
     @property
     def rank(self) -> Rank:
--- a/packages/router/plantaincart_router/direct/candidates.py
+++ b/packages/router/plantaincart_router/direct/candidates.py
@@ -6,6 +6,7 @@
 from time import monotonic
 
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.ownermap import KeyRange
 from plantaincart_core.verdict import Reason
 
 from plantaincart_router.direct.call import Call, refuse
@@ -209,6 +210,7 @@
                 )
                 if self.is_backed_off(record):
                     raise self._rejections.refuse_backed_off(call, [record])
+                self._check_grant(call, key_range)
                 if is_parked:
                     # Requests that waited for the key at other instances go out, too.
                     self._view.room.share.doubt(record.id, monotonic())
@@ -219,6 +221,11 @@
             unowned = self._view.unowned
             unowned_s = unowned.record_unserved(call.service.name, first, now)
             expected_s = unowned.estimate_wait(call.service.name, key, now)
+            if self._view.lapses.is_coordinator_silent(now):
+                # Nobody names an owner before a takeover.
+                takeover_s = self._view.lapses.estimate_wait_s(now)
+                expected_s = max(expected_s or 0.0, takeover_s)
+                raise self._rejections.refuse_unowned(call, key, unowned_s, expected_s)
             limit_s = self._settings.send.handover_s - unowned_s
             if expected_s is not None:
                 limit_s = expected_s + HANDOVER_MARGIN_S
@@ -230,6 +237,17 @@
             is_parked = True
             await self.wait_for_change(call, wait_s)
 
+    def check_refusal(self, call: Call) -> None:
+        """Reject a request that the owner of its key has refused, if nobody renews."""
+        key = call.metadata.key
+        key_range = (
+            None if key is None else self._view.find_owner(call.service.name, key)
+        )
+        if key_range is not None and self._view.lapses.is_lapsed(
+            call.service.name, key_range
+        ):
+            raise self._rejections.refuse_lapsed(call, key_range.owner)
+
     def is_backed_off(self, record: UpstreamRecord) -> bool:
         """Whether an upstream has asked not to get requests for some time."""
         return self._view.backoffs.remaining_s(record, monotonic()) > 0.0
@@ -242,6 +260,15 @@
         except TimeoutError:
             pass
 
+    def _check_grant(self, call: Call, key_range: KeyRange) -> None:
+        """Reject a request for a key whose grant nobody renews, unless it is a try."""
+        lapses, service = self._view.lapses, call.service.name
+        if call.tries_lapsed or not lapses.is_lapsed(service, key_range):
+            return
+        if not lapses.may_try(service, key_range, monotonic()):
+            raise self._rejections.refuse_lapsed(call, key_range.owner)
+        call.tries_lapsed = True
+
     def _exclude_backoffs(
         self, call: Call, candidates: Sequence[UpstreamRecord]
     ) -> list[UpstreamRecord]:
--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -374,6 +374,7 @@
                 return
             raise self._rejections.refuse_unreachable(call, record, str(error))
         elif error.misdirected and call.service.keyed:
+            self._candidates.check_refusal(call)
             await self._candidates.wait_for_change(call, MISDIRECTED_WAIT_S)
             if self._may_retry(call):
                 return
--- a/packages/router/plantaincart_router/direct/rejection.py
+++ b/packages/router/plantaincart_router/direct/rejection.py
@@ -151,6 +151,26 @@
             call, Reason.NO_OWNER, detail, max(expected_s, MIN_UNOWNED_RETRY_S)
         )
 
+    def refuse_lapsed(self, call: Call, owner: str) -> RefusedError:
+        """
+        Return the error for a key whose grant nobody renews.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        owner : str
+            Upstream that had the grant.
+        """
+        expected_s = self._view.lapses.estimate_wait_s(monotonic())
+        detail = (
+            f"the grant of {owner} has lapsed and no coordinator is heard, expected in "
+            f"{expected_s:.1f} s"
+        )
+        return self.refuse_unserved(
+            call, Reason.NO_OWNER, detail, max(expected_s, MIN_UNOWNED_RETRY_S)
+        )
+
     def refuse_overloaded(
         self,
         call: Call,
--- a/packages/router/plantaincart_router/direct/sender.py
+++ b/packages/router/plantaincart_router/direct/sender.py
@@ -5,6 +5,7 @@
 
 from plantaincart_core.admission import LatencyEstimate
 from plantaincart_core.directory import UpstreamRecord
+from plantaincart_core.ownermap import KeyRange
 from plantaincart_core.verdict import Reason
 
 from plantaincart_router.direct.call import Call, LostError, NotRunError, refuse
@@ -155,6 +156,9 @@
             self._view.room.record_load(record, metadata.load.waiting)
         if metadata.not_run:
             raise self._evaluate_not_run(call, record, metadata, answer)
+        key_range = self._find_range(call, record)
+        if key_range is not None:
+            self._view.lapses.record_served(call.service.name, key_range)
         self._metrics.count("attempts", call.service.name, "answered")
         self._metrics.observe("upstream_seconds", now - sent_at, call.service.name)
         queued = in_progress >= record.slots
@@ -179,6 +183,12 @@
                 self._view.key_demand.record_refused(
                     call.service.name, key, record.id, key_range.fence
                 )
+        owned_range = self._find_range(call, record)
+        is_owner = metadata.answered_by in ("", record.id)
+        if metadata.misdirected and is_owner and owned_range is not None:
+            self._view.lapses.record_refused(
+                call.service.name, owned_range, monotonic()
+            )
         at_capacity = (
             metadata.request_count is None or metadata.request_count >= record.slots
         )
@@ -195,6 +205,16 @@
             f"status {answer.status}", metadata.misdirected, True, at_capacity
         )
 
+    def _find_range(self, call: Call, record: UpstreamRecord) -> KeyRange | None:
+        """Return the range of the request's key, if the upstream is still its owner."""
+        key = call.metadata.key
+        if not call.service.keyed or key is None:
+            return None
+        key_range = self._view.find_owner(call.service.name, key)
+        if key_range is None or key_range.owner != record.id:
+            return None
+        return key_range if key_range.born == record.born else None
+
     def _record_full(self, call: Call, record: UpstreamRecord) -> None:
         self._metrics.count("attempts_at_full", call.service.name)
         self._view.room.record_full(record)
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -398,6 +398,12 @@
     rebalance_s: float = 0.4
     load_memory_s: float = 2.5
 
+    @property
+    def takeover_s(self) -> float:
+        """Seconds from the last notice of a lost coordinator to its successor's."""
+        found_s = self.silent_s + self.row_read_s
+        return found_s + self.unchanged_s + self.candidate_s + self.report_s
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DirectSettings:
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -6,6 +6,7 @@
 from plantaincart_core.account import AccountIndex
 from plantaincart_core.directory import UpstreamDirectory, UpstreamRecord
 from plantaincart_core.fleetdivision import DivisionHistory, FleetDivision
+from plantaincart_core.grantlapse import GrantLapses
 from plantaincart_core.ownermap import KeyRange, OwnerMap
 from plantaincart_core.pace import PaceSettings
 from plantaincart_core.pacetable import PaceTable
@@ -80,6 +81,8 @@
         Limits of upstreams that have just started or fail.
     key_demand : KeyDemand
         What requests ask of keys.
+    lapses : GrantLapses
+        Keys that nobody can serve, since no coordinator renews their grants.
     draining : DrainWatch
         For how long upstreams that leave may still get requests.
     quotas : UpstreamQuotas
@@ -118,6 +121,8 @@
         self.upstreams_loaded = False
         self.owners: dict[str, OwnerMap] = {}
         self.unowned = UnownedRanges()
+        times = settings.coordination
+        self.lapses = GrantLapses(times.silent_s, times.takeover_s)
         self.map_version = -1
         self.epoch = 0
         self.members = 1
@@ -254,6 +259,7 @@
         if notice.epoch < self.epoch:
             return False
         now = monotonic()
+        self.lapses.record_notice(now)
         for fact in self.facts:
             if not fact.needs_map:
                 fact.apply(notice, now)
--- a/packages/router/plantaincart_router/direct/where/snapshot.py
+++ b/packages/router/plantaincart_router/direct/where/snapshot.py
@@ -27,6 +27,7 @@
         vars(self).update(vars(view))
         self.key_demand = KeyDemand()
         self.unowned = deepcopy(view.unowned)
+        self.lapses = deepcopy(view.lapses)
         self.loads = view.loads.copy()
         self.room = view.room.copy(self.loads)
         self.quotas = view.quotas.copy()
