--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -298,11 +298,14 @@
             return
         claimed_at = read_boot_time()
         replaced_row, renewed_at = self._term.row, self._term.changed_at
+        silent_s, measured_at = self._term.measure_silence(), monotonic()
         row = await self._term.claim(
             self._settings.name, self._peer_address(self._settings), self._view.epoch
         )
         if row is None:
             return
+        if silent_s is not None:
+            silent_s += monotonic() - measured_at
         self._coordinator_resigned = False
         self._disconnect()
         self._leave_earlier_coordinator()
@@ -317,20 +320,25 @@
             claimed_at,
             self._notify,
             self.feeds,
-            self._describe_previous_term(replaced_row, renewed_at),
+            self._describe_previous_term(replaced_row, renewed_at, silent_s),
         )
         self.coordinator.start()
         self._report()
 
     def _describe_previous_term(
-        self, row: CoordinatorRow | None, renewed_at: float
+        self, row: CoordinatorRow | None, renewed_at: float, silent_s: float | None
     ) -> PreviousTerm:
         if row is None or not row.electors:
             # A coordinator of an earlier build acts in an outage although its row
             # doesn't change, and names no electors who would know it.
             renewed_at = max(renewed_at, self._outage_notice_at)
         previous_term = PreviousTerm(
-            self._times, row, renewed_at, self._estimate_previous_grant_duration_s()
+            self._times,
+            row,
+            renewed_at,
+            self._estimate_previous_grant_duration_s(),
+            self._settings.bounds.max_hold_s,
+            silent_s,
         )
         previous_term.record_left(self._settings.name, self._measure_earlier_silence())
         return previous_term
