--- a/packages/testing/plantaincart_testing/listener.py
+++ b/packages/testing/plantaincart_testing/listener.py
@@ -40,7 +40,12 @@
 
 
 class WireFault(Enum):
-    """Fault injected into the bytes of an answer."""
+    """
+    Fault injected into the bytes of an answer.
+
+    `REPEAT` writes it once more when the next request on the connection has come;
+    `CUT_HEAD` leaves out all from the blank line after the head, and closes.
+    """
 
     NONE = auto()
     LOSE = auto()
@@ -48,6 +53,8 @@
     TRUNCATE = auto()
     DUPLICATE = auto()
     CROSS = auto()
+    REPEAT = auto()
+    CUT_HEAD = auto()
 
 
 AnswerWithFault = tuple[HttpAnswer, WireFault]
@@ -150,6 +157,7 @@
         self._body: list[bytes] = []
         self._transport: Transport
         self._task: Task[None] | None = None
+        self._late_copy = b""
         self.is_silent = False
 
     def connection_made(self, transport: BaseTransport) -> None:
@@ -189,6 +197,8 @@
             elif isinstance(event, Data):
                 self._body.append(event.data)
             elif isinstance(event, EndOfMessage):
+                self._transport.write(self._late_copy)
+                self._late_copy = b""
                 self._task = get_running_loop().create_task(self._answer())
                 return
             elif isinstance(event, ConnectionClosed):
@@ -227,7 +237,14 @@
             self._transport.write(data[: len(data) * 3 // 4])
             self._transport.close()
             return
-        self._transport.write(data if fault is WireFault.NONE else data + data)
+        if fault is WireFault.CUT_HEAD:
+            self._transport.write(data[: data.index(b"\r\n\r\n") + 2])
+            self._transport.close()
+            return
+        if fault is WireFault.REPEAT:
+            self._late_copy = data
+        is_doubled = fault in (WireFault.DUPLICATE, WireFault.CROSS)
+        self._transport.write(data + data if is_doubled else data)
         self._task = None
         if self._http.our_state is not DONE or self._http.their_state is not DONE:
             self._transport.close()
