Let no entry of another writer replace what an endpoint says of itself

An unreadable entry, in turn, removed the endpoint, although it names none.

An unreadable entry under a known id holds what is known until the endpoint writes again, or for as long as the store takes to remove a silent one; a drain that it hid counts from when the entry before it was known.

--- a/packages/core/plantaincart_core/directory.py
+++ b/packages/core/plantaincart_core/directory.py
@@ -1,6 +1,6 @@
 """Directory of the announced upstreams, with their readiness for new requests."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from plantaincart_core.leaving import LeavingUpstreams
@@ -74,6 +74,10 @@
 
     Notes
     -----
+    An unreadable announcement under the identity of an upstream was written by another
+    writer. What is known of the upstream holds for as long as the upstream itself would
+    take to write again, or to be removed.
+
     An announcement can expire merely because its renewal couldn't be stored. So an
     upstream whose announcement disappears during an outage of the store, or within
     `REANNOUNCEMENT_GRACE_S` after it, is kept until that time has passed.
@@ -103,6 +107,7 @@
         self._records: dict[str, UpstreamRecord] = {}
         self._warm_at: dict[str, float] = {}
         self._removal_due_at: dict[str, float] = {}
+        self._held_until: dict[str, float] = {}
         self._displaced_born: dict[str, int] = {}
         self._departed: dict[str, tuple[int, float]] = {}
         self._doubted: dict[str, tuple[UpstreamRecord, float]] = {}
@@ -143,6 +148,7 @@
         self._departed.pop(record.id, None)
         self._records[record.id] = record
         self._removal_due_at.pop(record.id, None)
+        self._held_until.pop(record.id, None)
         self._warm_at[record.id] = now + record.warmup_left_s
 
     def remove(self, upstream: str, now: float) -> None:
@@ -159,11 +165,32 @@
         self._doubted.pop(upstream, None)
         if upstream not in self._records:
             return
+        self._held_until.pop(upstream, None)
         if self._store_unavailable or now < self._removals_valid_at:
             self._removal_due_at.setdefault(upstream, max(now, self._removals_valid_at))
         else:
             self._discard(upstream, now)
 
+    def hold(self, upstream: str, now: float) -> None:
+        """
+        Keep an upstream whose announcement has become unreadable.
+
+        It is removed after `STALE_ROW_LIFETIME_S` unless it is announced again.
+
+        Parameters
+        ----------
+        upstream : str
+            Identity of the upstream, which needn't be known.
+        now : float
+            Present time in seconds.
+        """
+        if upstream in self._records:
+            self._held_until.setdefault(upstream, now + STALE_ROW_LIFETIME_S)
+
+    def is_held(self, upstream: str) -> bool:
+        """Return whether the announcement of an upstream has become unreadable."""
+        return upstream in self._held_until
+
     def displace(self, record: UpstreamRecord, now: float) -> None:
         """
         Remove an upstream whose address is now used by another process.
@@ -183,7 +210,12 @@
         if current is not None and current.born == record.born:
             self._discard(record.id, now)
 
-    def replace_all(self, records: Iterable[UpstreamRecord], now: float) -> None:
+    def replace_all(
+        self,
+        records: Iterable[UpstreamRecord],
+        now: float,
+        unreadable: Collection[str] = (),
+    ) -> None:
         """
         Replace the contents with a full list of the upstreams.
 
@@ -193,6 +225,8 @@
             All announcements in the store.
         now : float
             Present time in seconds.
+        unreadable : collection of str
+            Identities whose announcements can't be read.
         """
         listed = set()
         for record in records:
@@ -206,13 +240,22 @@
             ):
                 # The remaining warm-up counts from the announcement read first.
                 self._records[record.id] = record
+                self._held_until.pop(record.id, None)
             else:
                 self.put(record, now)
             self._removal_due_at.pop(record.id, None)
         for upstream in [name for name in self._records if name not in listed]:
-            self.remove(upstream, now)
-
-    def replace_restored(self, records: Iterable[UpstreamRecord], now: float) -> None:
+            if upstream in unreadable:
+                self.hold(upstream, now)
+            else:
+                self.remove(upstream, now)
+
+    def replace_restored(
+        self,
+        records: Iterable[UpstreamRecord],
+        now: float,
+        unreadable: Collection[str] = (),
+    ) -> None:
         """
         Replace the contents after the store was restored from a copy.
 
@@ -222,6 +265,8 @@
             All announcements in the store; some may be older than what is known.
         now : float
             Present time in seconds.
+        unreadable : collection of str
+            Identities whose announcements can't be read.
         """
         self.defer_removals_until(now + REANNOUNCEMENT_GRACE_S)
         newest = []
@@ -238,7 +283,7 @@
                 self._doubted[record.id] = (record, now + STALE_ROW_LIFETIME_S)
             else:
                 newest.append(record)
-        self.replace_all(newest, now)
+        self.replace_all(newest, now, unreadable)
 
     def record_outage(self) -> None:
         """Record that the store is unavailable."""
@@ -251,6 +296,8 @@
             self._removals_valid_at = now + REANNOUNCEMENT_GRACE_S
             for upstream in self._removal_due_at:
                 self._removal_due_at[upstream] = self._removals_valid_at
+            for upstream in self._held_until:
+                self._held_until[upstream] = now + STALE_ROW_LIFETIME_S
 
     def removal_delay_s(self, now: float) -> float:
         """Return the remaining seconds for which removals are deferred."""
@@ -286,6 +333,10 @@
         for record, accepted_at in list(self._doubted.values()):
             if accepted_at <= now:
                 self.put(record, now)
+        for upstream, held_until in list(self._held_until.items()):
+            if held_until <= now:
+                self._held_until.pop(upstream)
+                self._removal_due_at[upstream] = max(now, self._removals_valid_at)
         due = [name for name, due_at in self._removal_due_at.items() if due_at <= now]
         return [self._discard(upstream, now) for upstream in due]
 
@@ -308,6 +359,7 @@
 
     def _discard(self, upstream: str, now: float) -> UpstreamRecord:
         self._removal_due_at.pop(upstream, None)
+        self._held_until.pop(upstream, None)
         self._warm_at.pop(upstream, None)
         record = self._records.pop(upstream)
         self._departed = {
--- a/packages/router/plantaincart_router/direct/draining.py
+++ b/packages/router/plantaincart_router/direct/draining.py
@@ -30,6 +30,7 @@
         self._directory = directory
         self._bounds = bounds
         self._since: dict[str, float] = {}
+        self._unread_since: dict[str, float] = {}
         self._seen_active: set[str] = set()
 
     def update(self, known_until: float, is_service_known: bool) -> None:
@@ -40,11 +41,17 @@
         ----------
         known_until : float
             Time in seconds up to which the table of announcements was known: those
-            that are new in it began no earlier.
+            that are new in it began no earlier, or for an upstream whose announcement
+            was unreadable meanwhile, no earlier than that was known.
         is_service_known : bool
             Whether it is known which data centres are in service.
         """
         for record in self._directory:
+            if self._directory.is_held(record.id):
+                self._unread_since.setdefault(record.id, known_until)
+                unread_since = known_until
+            else:
+                unread_since = self._unread_since.pop(record.id, known_until)
             if self._directory.is_in_service(record):
                 self._since.pop(record.id, None)
                 if is_service_known:
@@ -53,12 +60,13 @@
                 # An upstream that was never active here may have been draining for
                 # long.
                 was_active = record.id in self._seen_active
-                since = known_until if was_active else float("-inf")
+                since = min(known_until, unread_since) if was_active else float("-inf")
                 self._since.setdefault(record.id, since)
 
     def forget(self, upstream: str) -> None:
         """Drop what is known of an upstream that is gone, given by its identity."""
         self._since.pop(upstream, None)
+        self._unread_since.pop(upstream, None)
         self._seen_active.discard(upstream)
 
     def can_serve_keys(self, record: UpstreamRecord) -> bool:
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -322,13 +322,18 @@
         self, view: TableRows, known_until: float, is_restored: bool
     ) -> list[str]:
         """Apply all announcements; return the upstreams that don't follow their row."""
-        records = [self._reader.read_upstream(row) for row in view.rows]
-        valid_records = [record for record in records if record]
+        valid_records, unreadable = [], set()
+        for row in view.rows:
+            record = self._reader.read_upstream(row)
+            if record is None:
+                unreadable.add(row.key)
+            else:
+                valid_records.append(record)
         previous = {record.id: record for record in self.directory}
         if is_restored:
-            self.directory.replace_restored(valid_records, monotonic())
+            self.directory.replace_restored(valid_records, monotonic(), unreadable)
         else:
-            self.directory.replace_all(valid_records, monotonic())
+            self.directory.replace_all(valid_records, monotonic(), unreadable)
         self._update_draining(previous, known_until)
         self.upstreams_loaded = True
         write_event("upstreams_read", count=len(self.directory))
@@ -339,12 +344,15 @@
         previous = {record.id: record for record in self.directory}
         now = monotonic()
         for row in view.rows:
-            record = None if row.deleted else self._reader.read_upstream(row)
+            if row.deleted:
+                self.directory.remove(row.key, now)
+                continue
+            record = self._reader.read_upstream(row)
             if record is not None:
                 self.directory.put(record, now)
                 self._log_upstream(previous.get(record.id), record)
             else:
-                self.directory.remove(row.key, now)
+                self.directory.hold(row.key, now)
         self._update_draining(previous, known_until)
 
     def _update_draining(
