Keep feeds and watches of an instance running after any error

Cause: the decoder's RecursionError wasn't expected, `TableFeed.follow` handled the two errors of the store alone, and nothing started the task again. Changes that the sink failed to take were never read again either, since the version had advanced. Maintenance and the probe of reachability ended in the same way at their first unexpected error.

Ruled out: that catching the decoder's error is enough; any other error of a row, an answer or a relayed change ended or thinned out the feed as well.

Change: a row that can't be applied is skipped with `row_skipped`, and the others of its table are applied. A feed that fails otherwise logs `feed_failed` and reads its table in full after a pause, also after a relayed change. The lasting tasks of an instance run under `keep_running`, which logs `task_failed` and starts them again.

--- a/packages/router/plantaincart_router/direct/feed.py
+++ b/packages/router/plantaincart_router/direct/feed.py
@@ -29,6 +29,8 @@
 # Seconds after which a call for changes may hang on a connection that has fallen silent
 # in an outage. Other calls are answered within some milliseconds.
 SILENT_CALL_S = 0.3
+# Seconds after an unexpected error before the table is read again.
+FAILURE_PAUSE_S = 1.0
 
 
 class TableSink(ABC):
@@ -119,6 +121,9 @@
     A call waits for changes for seconds. If there is other evidence that there are
     changes, or that the store is reachable again, a call in progress is cancelled and
     repeated, since its connection may have fallen silent in the outage.
+
+    A feed lasts as long as its process. If an answer can't be applied, for whatever
+    reason, the table is read again in full.
     """
 
     def __init__(
@@ -149,6 +154,7 @@
         self._call_timeout: Timeout | None = None
         self._call_started_at = 0.0
         self._poll_at_once = False
+        self._has_failed = False
         self.table = table
         self.relays_changes = False
 
@@ -289,6 +295,11 @@
                 self._history = TableHistory()
             except StoreUnavailableError as error:
                 await self._handle_outage(error)
+            except Exception as error:
+                self._handle_failure(error)
+            if self._has_failed:
+                self._has_failed = False
+                await sleep(FAILURE_PAUSE_S)
 
     @property
     def _is_relayed(self) -> bool:
@@ -334,9 +345,8 @@
     def _replace(self, view: TableRows, known_until: float) -> None:
         self._history.restart(view.version)
         self._rows = {row.key: row for row in view.rows}
-        self._sink.replace_table(self.table, view, self._known_until)
-        self._known_until = known_until
-        self._notify_change()
+        previously_until, self._known_until = self._known_until, known_until
+        self._apply(self._sink.replace_table, view, previously_until)
 
     async def _wait_for_changes(self, current_version: int) -> TableRows | None:
         """Wait for changes; return None if the call was cancelled."""
@@ -391,13 +401,33 @@
             else:
                 self._rows[row.key] = row
         if rows:
-            self._sink.change_table(self.table, new_changes, previously_until)
-            self._notify_change()
+            self._apply(self._sink.change_table, new_changes, previously_until)
         return bool(rows)
 
-    def _notify_change(self) -> None:
-        if self._on_change is not None:
-            self._on_change()
+    def _apply(
+        self,
+        change: Callable[[str, TableRows, float], None],
+        view: TableRows,
+        known_until: float,
+    ) -> None:
+        """Pass rows to the sink; read the table again if it fails."""
+        try:
+            change(self.table, view, known_until)
+            if self._on_change is not None:
+                self._on_change()
+        except Exception as error:
+            self._handle_failure(error)
+
+    def _handle_failure(self, error: Exception) -> None:
+        write_event(
+            "feed_failed",
+            table=self.table,
+            version=self._history.version,
+            error=repr(error),
+        )
+        self._history = TableHistory()
+        self._has_failed = True
+        self._wake_event.set()
 
     def _record_answer(self) -> None:
         self._retry_delay_s = FIRST_RETRY_DELAY_S
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -1,6 +1,7 @@
 """One instance: its HTTP servers, table feeds, start and shutdown."""
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from time import monotonic
 
@@ -12,6 +13,7 @@
 from plantaincart_router.direct.follower import Follower
 from plantaincart_router.direct.gateway import Gateway
 from plantaincart_router.direct.interface import Platform
+from plantaincart_router.direct.lastingtask import keep_running
 from plantaincart_router.direct.metrics import RouterMetrics
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.reachabilityprobe import ReachabilityProbe
@@ -122,9 +124,14 @@
         relay_port = await self._relay_server.start(settings.host, settings.relay_port)
         self.view.relay_fact.address = f"{settings.host}:{relay_port}"
         self.follower.start(get_running_loop())
-        self._tasks = [create_task(feed.follow()) for feed in self._feeds]
-        self._tasks.append(create_task(self._run_maintenance()))
-        self._tasks.append(create_task(ReachabilityProbe(self._pools).run()))
+        lasting: dict[str, Callable[[], Awaitable[None]]] = {
+            f"feed {feed.table}": feed.follow for feed in self._feeds
+        }
+        lasting["maintenance"] = self._run_maintenance
+        lasting["reachability"] = ReachabilityProbe(self._pools).run
+        self._tasks = [
+            create_task(keep_running(name, run)) for name, run in lasting.items()
+        ]
         write_event(
             "started", data_centre=settings.data_centre, port=settings.front_port
         )
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -42,7 +42,7 @@
 from plantaincart_router.direct.sharedroom import SharedRoom
 from plantaincart_router.direct.silencefact import SilenceFact
 from plantaincart_router.direct.speedfact import SpeedFact
-from plantaincart_router.direct.store import TableRows
+from plantaincart_router.direct.store import StoreRow, TableRows
 from plantaincart_router.direct.unowned import UnownedRanges
 from plantaincart_router.log import write_event
 
@@ -324,7 +324,7 @@
         """Apply all announcements; return the upstreams that don't follow their row."""
         valid_records, unreadable = [], set()
         for row in view.rows:
-            record = self._reader.read_upstream(row)
+            record = self._read_upstream(row)
             if record is None:
                 unreadable.add(row.key)
             else:
@@ -347,7 +347,7 @@
             if row.deleted:
                 self.directory.remove(row.key, now)
                 continue
-            record = self._reader.read_upstream(row)
+            record = self._read_upstream(row)
             if record is not None:
                 self.directory.put(record, now)
                 self._log_upstream(previous.get(record.id), record)
@@ -355,6 +355,17 @@
                 self.directory.hold(row.key, now)
         self._update_draining(previous, known_until)
 
+    def _read_upstream(self, row: StoreRow) -> UpstreamRecord | None:
+        try:
+            return self._reader.read_upstream(row)
+        except Exception as error:
+            self._skip_row(row, error)
+            return None
+
+    def _skip_row(self, row: StoreRow, error: Exception) -> None:
+        """Log a row that can't be applied; the others of its table are."""
+        write_event("row_skipped", key=row.key, version=row.version, error=repr(error))
+
     def _update_draining(
         self, previous: dict[str, UpstreamRecord], known_until: float
     ) -> None:
@@ -396,15 +407,21 @@
             if row.deleted:
                 self._closures.remove(row.key)
                 continue
-            data_centre = self._reader.read_closed_data_centre(row)
-            self._closures.put(row.key, data_centre)
-            if data_centre is None:
-                self._adopt_routing_config(self._reader.read_configuration(row))
+            try:
+                self._apply_operator_row(row)
+            except Exception as error:
+                self._skip_row(row, error)
         changed = self._closures.update_directory()
         if changed or not self._operator_rows_loaded:
             self._operator_rows_loaded = True
             self._update_draining({}, known_until)
 
+    def _apply_operator_row(self, row: StoreRow) -> None:
+        data_centre = self._reader.read_closed_data_centre(row)
+        self._closures.put(row.key, data_centre)
+        if data_centre is None:
+            self._adopt_routing_config(self._reader.read_configuration(row))
+
     def _adopt_routing_config(
         self, routing_config: RoutingConfiguration | None
     ) -> None:
@@ -413,9 +430,12 @@
             and routing_config.version <= self.routing_config.version
         ):
             return
-        self.routing_config = routing_config
-        self.routes = RouteIndex(routing_config)
-        self.account_fact.accounts = AccountIndex(routing_config.accounts)
+        routes, accounts = (
+            RouteIndex(routing_config),
+            AccountIndex(routing_config.accounts),
+        )
+        self.routing_config, self.routes = routing_config, routes
+        self.account_fact.accounts = accounts
         write_event(
             "plan_adopted",
             version=routing_config.version,
