Count every error of a connect as a failed connection

Callers would see: a request for an upstream with a port above 65535 failed with a 500 instead of being sent elsewhere, and the probe of reachability ended (review, read in the source). Cause: `sock_connect` raises OverflowError for such a port and ValueError for a host with a null byte or a lone surrogate, and `HttpConnection.open` turned OSError alone into ConnectFailedError. Change: all three count as a failed connection. Evidence: 5 new cases of test_http_client.py failed before, none now.

--- a/packages/router/plantaincart_router/http/exchange.py
+++ b/packages/router/plantaincart_router/http/exchange.py
@@ -130,7 +130,8 @@
                 return connection
         except TimeoutError:
             raise ConnectFailedError(f"{address}: timeout") from None
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # A port out of range is an OverflowError, an invalid host a ValueError.
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectFailedError(f"{address}: {error}", refused=refused) from error
 
--- a/packages/router/plantaincart_router/tests/test_http_client.py
+++ b/packages/router/plantaincart_router/tests/test_http_client.py
@@ -331,3 +331,13 @@
     assert (await client.request("GET", "/")).body == b"ok"
     assert len(writers) == 5
     client.close()
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [(HOST, 65536), (HOST, -1), (HOST, 10**30), ("a\0b", 80), ("\ud800", 80)],
+)
+async def test_address_out_of_range_fails_to_connect(host, port):
+    """OverflowError or ValueError passed callers that expect a failed connection."""
+    with pytest.raises(ConnectFailedError):
+        await HttpConnection.open(host, port, 1.0)
