--- a/packages/core/plantaincart_core/era.py
+++ b/packages/core/plantaincart_core/era.py
@@ -1,6 +1,7 @@
 """Versions and epochs that stay ordered when the store is restored from a copy."""
 
 __all__ = [
+    "MAX_COUNTER",
     "first_epoch",
     "is_epoch_of_era",
     "join_version",
@@ -12,6 +13,7 @@
 # A version is one integer: the era of the store, followed by its counter in this many
 # bits.
 COUNTER_BITS = 52
+MAX_COUNTER = (1 << COUNTER_BITS) - 1
 # An epoch is one integer: the era of the store in which the term was claimed, followed
 # by the number of the term in this many bits.
 TERM_BITS = 16
@@ -52,7 +54,7 @@
     >>> split_version(join_version(3, 12))
     (3, 12)
     """
-    return version >> COUNTER_BITS, version & ((1 << COUNTER_BITS) - 1)
+    return version >> COUNTER_BITS, version & MAX_COUNTER
 
 
 def first_epoch(era: int) -> int:
