Keep a term through errors in planning, granting and releasing keys

Callers saw (review, read in the source): an entry with `slots` false divided by zero in `MovePlanner.plan_unowned`, which ended the coordinator's term; its successor met the same entry. A limit of 0 that an upstream names gives the same capacity of 0 after some seconds, without any odd entry.

Cause: a capacity of 0 was divided by, and any error in planning ended the whole term. An unexpected error in a grant or release call ended the task of a move, so that its keys counted as moving, without an owner, until the term ended.

Change: no capacity is below `NO_CAPACITY`. An error in planning skips this step of this service (`planning_failed`); its grants are renewed independently. An unexpected error of a release counts as a failed call, as the keys are free once their grants have expired; that of a grant as one without an answer; that of a renewal as a grant to be made again; any other one repeats the calls of the move, with the same tokens (`move_interrupted`).

Ruled out: to go on after an error while owners are written; the term still ends then, so that its successor completes the moves that the stored row names.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -353,14 +353,19 @@
                     handover = await self._release_before_expiry(record, key_range)
                     self.outcomes.record_answer()
                     return handover
-            except (ExchangeError, TimeoutError) as error:
+            except Exception as error:
+                # Whatever the error, the keys are free once the grants have expired.
                 write_event(
                     "release_failed",
                     upstream=record.id,
                     first=key_range.first,
                     last=key_range.last,
                     fence=key_range.fence,
-                    error=str(error) or "grant expired",
+                    error=(
+                        "grant expired"
+                        if isinstance(error, TimeoutError)
+                        else str(error) or repr(error)
+                    ),
                 )
             remaining_s = self.grant_expiry(record.id, record.born) - monotonic()
             if remaining_s <= 0.0:
@@ -437,6 +442,9 @@
             if not is_displaced and self._is_renewed(name, key_range):
                 self.refusing_processes.add((record.id, record.born))
                 self.on_refused()
+        except Exception as error:
+            write_event("renewal_failed", upstream=record.id, error=repr(error))
+            granted = False
         if not granted and self._is_renewed(name, key_range):
             self.unrenewed.append(key_range)
 
--- a/packages/router/plantaincart_router/direct/placement.py
+++ b/packages/router/plantaincart_router/direct/placement.py
@@ -171,6 +171,16 @@
             Upstreams whose keys should move, as most instances must not send them
             requests.
         """
+        try:
+            moves = self._plan(backed_off)
+        except Exception as error:
+            # Owners keep their keys, as their grants are renewed independently.
+            write_event("planning_failed", service=self._service, error=repr(error))
+            return
+        if moves:
+            await self._carry_out(moves)
+
+    def _plan(self, backed_off: Set[str]) -> list[KeyMove]:
         self._registry.record_announced()
         planner = self._planner
         owners = planner.list_owners(backed_off)
@@ -179,16 +189,14 @@
         ):
             # Another upstream isn't reached either.
             self._retry_failed_moves()
-            return
+            return []
         if self._moving or any(key_range.owner for key_range in self.owners):
             moves = planner.plan_unowned(self.owners, self._moving, owners)
             if not moves and self._is_rebalance_due():
                 self._merge_neighbours()
                 moves = planner.count_excess_shards(self.owners, self._moving, owners)
-        else:
-            moves = planner.plan_initial(owners)
-        if moves:
-            await self._carry_out(moves)
+            return moves
+        return planner.plan_initial(owners)
 
     def _retry_failed_moves(self) -> None:
         """Grant keys again to owners that didn't answer at the end of a move."""
@@ -373,7 +381,7 @@
         """Release keys from their previous owners, then grant them to the new one."""
         if key_range not in self._moving:
             self._moving.add(key_range)
-        granted = await self._transfer.move(key_range, sources)
+        granted = await self._transfer_keys(key_range, sources)
         record = self._registry.find_announced(key_range.owner, key_range.born)
         self._moving.discard(key_range)
         self._expected_free_at.pop(key_range, None)
@@ -399,3 +407,21 @@
                 last=key_range.last,
                 upstream=key_range.owner,
             )
+
+    async def _transfer_keys(
+        self, key_range: KeyRange, sources: list[KeyRange]
+    ) -> bool:
+        """Make the calls of a move, again after an unexpected error."""
+        while True:
+            try:
+                return await self._transfer.move(key_range, sources)
+            except Exception as error:
+                write_event(
+                    "move_interrupted",
+                    service=self._service,
+                    first=key_range.first,
+                    last=key_range.last,
+                    upstream=key_range.owner,
+                    error=repr(error),
+                )
+            await sleep(GRANT_RETRY_DELAY_S)
--- a/packages/router/plantaincart_router/direct/planner.py
+++ b/packages/router/plantaincart_router/direct/planner.py
@@ -28,8 +28,8 @@
 # Seconds for which the number of upstreams must not change before the keys are divided
 # for the first time.
 SETTLE_S = 1.0
-# Capacity assumed for an upstream that may not get requests, so that any key that it
-# owns counts as excess load.
+# Capacity assumed for an upstream that may not get requests, or has none, so that any
+# key that it owns counts as excess load.
 NO_CAPACITY = 1e-6
 # Seconds after an upstream has named a limit for which it gets no further keys. One
 # that has none left can't be heard to name no limit any more.
@@ -123,7 +123,7 @@
             owners[record.id] = Owner(
                 id=record.id,
                 born=record.born,
-                capacity=capacity if may_work else NO_CAPACITY,
+                capacity=max(capacity, NO_CAPACITY) if may_work else NO_CAPACITY,
                 accepts_keys=(
                     may_work and not is_failing and not is_cold and not is_limited
                 ),
--- a/packages/router/plantaincart_router/direct/transfer.py
+++ b/packages/router/plantaincart_router/direct/transfer.py
@@ -166,3 +166,6 @@
                 error=str(error),
             )
             return False
+        except Exception as error:
+            write_event("grant_failed", upstream=record.id, error=repr(error))
+            return None
