Keep a term whose end comes before any member has tried a hanging store

Callers of keyed routes weren't served during a whole outage of the store in which calls hang, though no instance was lost. Cause: two calls of the coordinator that hang, 0.6 s each, tell of the outage 1.7 s after the last confirmation; members try the store only then, and each try hangs for 0.6 s. At 2.0 s no member had tried it, which counted as no outage, and the term ended. Nobody can claim another one, so grants lapsed 3 s later. A store that refuses or resets calls tells at once.

A term isn't ended now while members are there and none of them has tried the store, for twice the time after a confirmation. It isn't valid meanwhile: it makes no grants and its notices go on asking members to try. The first report decides as before. `term_suspended` says so with `tried=0`; `tried` counts only members that have tried.

Ruled out: to set doubt at the first unanswered call. Lost answers would start tries at all instances, each of which is billed, and one hanging try still ends later than 2.0 s.

Cost: a coordinator that alone lacks a hanging store ends its term when the first member reports an answer instead of at 2.0 s.

--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -38,6 +38,9 @@
 # Intervals between reports within which members report again after a suspension, or
 # after the coordinator has had no processor time.
 REPORTS_AFTER_PAUSE = 3
+# Multiple of `confirmed_s` for which a term isn't ended while no member has tried the
+# store yet. It covers two calls of the coordinator and one of a member that hang.
+UNTRIED_FACTOR = 2.0
 
 
 class Term:
@@ -83,7 +86,8 @@
     The term lasts for `confirmed_s` after the start of the last call that confirmed it,
     even if another call is in progress then. While the members report that the store
     answers none of them, it lasts for `offline_s`, but is valid only while most of the
-    electors that the row names follow this instance. A successor that the members
+    electors that the row names follow this instance. While none of them has tried the
+    store yet it isn't valid, but doesn't end. A successor that the members
     don't hear, in another part of a partitioned network, waits until it knows that they
     don't (`PreviousTerm`).
 
@@ -124,7 +128,9 @@
         self._reclaimed_row: CoordinatorRow | None = None
         self._wake_event = Event()
         self._is_rechecking = False
-        self._lasts_through_outage = self._is_suspended = False
+        self._lasts_through_outage = False
+        # None while the store confirms the term.
+        self._logged_suspended: bool | None = None
         self._suspension_monitor = SuspensionMonitor()
         self._confirmed_at = claimed_at
         self._resumed_at = float("-inf")
@@ -340,7 +346,7 @@
         self._confirmed_at = at
         self._following.incarnations = incarnations
         self._is_rechecking = self._lasts_through_outage = False
-        self._is_suspended = False
+        self._logged_suspended = None
         self.store_unreachable = False
         if not self._closed:
             remaining_s = at + self._times.confirmed_s - read_boot_time()
@@ -386,6 +392,12 @@
         if not is_outage and now < self._resumed_at + report_window_s:
             self._expiry_timer.set(self._times.report_s)
             return
+        is_untried = bool(silences) and max(silences) < 0.0
+        if is_untried and age_s < UNTRIED_FACTOR * self._times.confirmed_s:
+            # Calls that hang tell late of an outage. The term isn't valid meanwhile.
+            self._log_validity(now, age_s, silences, is_suspended=True)
+            self._expiry_timer.set(self._times.report_s)
+            return
         if not is_outage or age_s > self._times.offline_s:
             self._end_term(
                 f"no renewal confirmed for {age_s:.1f} s: {self._last_error}"
@@ -395,22 +407,29 @@
         unfollowed_s = now - max(
             followed_until, self._confirmed_at + self._times.confirmed_s
         )
-        if not self._lasts_through_outage or self._is_suspended != (unfollowed_s > 0):
-            self._is_suspended = unfollowed_s > 0
-            write_event(
-                "term_suspended" if self._is_suspended else "term_prolonged",
-                epoch=self.epoch,
-                confirmed_s=round(age_s, 2),
-                electors=self._following.count_electors(),
-                followed_by=self._following.count_followers(now),
-                tried=len(silences),
-            )
+        self._log_validity(now, age_s, silences, is_suspended=unfollowed_s > 0.0)
         self._lasts_through_outage = True
         if unfollowed_s > report_window_s:
             self._end_term("too few electors follow this instance")
             return
         self._expiry_timer.set(self._times.report_s)
 
+    def _log_validity(
+        self, now: float, age_s: float, silences: list[float], is_suspended: bool
+    ) -> None:
+        """Log whether the term is valid without the store, if that has changed."""
+        if self._logged_suspended == is_suspended:
+            return
+        self._logged_suspended = is_suspended
+        write_event(
+            "term_suspended" if is_suspended else "term_prolonged",
+            epoch=self.epoch,
+            confirmed_s=round(age_s, 2),
+            electors=self._following.count_electors(),
+            followed_by=self._following.count_followers(now),
+            tried=sum(silence >= 0.0 for silence in silences),
+        )
+
     def _find_valid_until(self) -> float:
         """Return the boot time in seconds until which the term is valid."""
         confirmed_until = self._confirmed_at + self._times.confirmed_s
--- a/packages/router/plantaincart_router/direct/tests/test_term.py
+++ b/packages/router/plantaincart_router/direct/tests/test_term.py
@@ -196,3 +196,34 @@
     assert following.count_electors() == 5
     term_run.client.write = write
     term_run.task.cancel()
+
+
+async def test_term_waits_until_members_have_tried_a_store_whose_calls_hang():
+    """Guards against a term that ends in an outage before members have tried."""
+    term_run = RenewedTerm()
+    term_run.report("r2", -1.0)
+    await term_run.silence_store(seconds=0.6 * FAST.confirmed_s)
+    ends_at = monotonic() + 5 * FAST.confirmed_s
+    tried_at, silences = None, []
+    while monotonic() < ends_at:
+        if tried_at is None and term_run.term.store_unreachable:
+            tried_at = monotonic() + FAST.reached_s
+        was_tried = tried_at is not None and monotonic() >= tried_at
+        term_run.report("r2", FAST.reached_s if was_tried else -1.0)
+        if not was_tried:
+            silences.append(term_run.term.is_valid)
+        await sleep(0.02)
+        assert term_run.ended_at is None
+    assert not all(silences)
+    assert term_run.term.is_valid
+    term_run.task.cancel()
+
+
+async def test_term_ends_where_members_never_try_the_store():
+    term_run = RenewedTerm()
+    silent_at = await term_run.silence_store(seconds=5.0)
+    while term_run.ended_at is None and monotonic() < silent_at + 2.0:
+        term_run.report("r2", -1.0)
+        await sleep(0.02)
+    term_run.task.cancel()
+    assert term_run.ended_at - silent_at <= 2.0 * FAST.confirmed_s + TOLERANCE_S
