Choose the duration of a grant when it is sent

A grant that waits behind other calls to its upstream took the duration from when it was queued: a long one could be sent after the store had answered, and outlast what the coordinator's row says of long grants (found by reading). The new test failed before and passes now.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -280,16 +280,17 @@
         GrantRefusedError
             If the upstream refused the grant.
         """
-        duration_s = self.grant_duration_s
         process = (record.id, record.born)
         previous_expiry = self._grant_expiries.get(process, 0.0)
-        max_duration_s = duration_s * (1.0 + self._settings.clock_drift)
         margin_s = self._settings.call_timeout_s + self._settings.hold_margin_s
         try:
             # Calls to one process are serialised, so that they share one connection.
             async with self._locks.setdefault(process, Lock()):
                 if not self.may_call or (is_current is not None and not is_current()):
                     return False
+                # It may have changed while this call was queued.
+                duration_s = self.grant_duration_s
+                max_duration_s = duration_s * (1.0 + self._settings.clock_drift)
                 previous_expiry = self._grant_expiries.get(process, 0.0)
                 self.extend_grant_expiry(
                     *process, monotonic() + max_duration_s + margin_s
--- a/packages/router/plantaincart_router/direct/tests/test_granter.py
+++ b/packages/router/plantaincart_router/direct/tests/test_granter.py
@@ -118,3 +118,21 @@
     await granter.grant(record, GRANTED)
     assert not granter.is_failing("u0", 1)
     assert not granter.may_be_tried("u0", 1, monotonic() + 60.0)
+
+
+async def test_queued_grant_lasts_as_long_as_grants_do_when_it_is_sent():
+    """Guards against a long grant that is sent after long grants have ended."""
+    upstream = MemoryUpstream("u0")
+    calls = MemoryGrants({"u0": upstream})
+    granter = Granter(calls, FAST, 10.0)
+    granter.grant_duration_s = 10.0
+    calls.hanging = True
+    first = create_task(granter.grant(make_record("u0"), GRANTED))
+    await sleep(0.01)
+    queued = create_task(granter.grant(make_record("u0"), GRANTED))
+    await sleep(0.01)
+    granter.grant_duration_s = FAST.hold_s
+    calls.hanging = False
+    await first
+    assert await queued
+    assert upstream.grants[-1].expires_at - monotonic() <= FAST.hold_s
