--- a/packages/router/plantaincart_router/direct/previousterm.py
+++ b/packages/router/plantaincart_router/direct/previousterm.py
@@ -156,7 +156,9 @@
             return left_at
         last_followed = find_last_followed(self._row.electors, self._last_heard_at)
         followed_until = last_followed + self._times.followed_s
-        return min(followed_until, self._renewed_at + self._times.offline_s)
+        # The earlier coordinator's clock may run slow.
+        offline_s = self._times.offline_s * (1.0 + self._times.clock_drift)
+        return min(followed_until, self._renewed_at + offline_s)
 
     def _add_grant_duration(self, end: float, offline_end: float) -> float:
         """
--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -460,7 +460,9 @@
     def _make_next_row(self) -> CoordinatorRow:
         """Return the row with the next beat, and with what it says of grants."""
         long_grants = self._may_have_long_grants()
-        row = replace(self._row, beat=self._row.beat + 1)
+        # A beat names one write, also if an earlier one takes effect late.
+        last_beat = max([self._row.beat, *self._attempted_at])
+        row = replace(self._row, beat=last_beat + 1)
         if not self._have_earlier_ended():
             return replace(row, long_grants=row.long_grants or long_grants)
         clock = self._store.clock
