--- a/packages/router/plantaincart_router/direct/term.py
+++ b/packages/router/plantaincart_router/direct/term.py
@@ -83,13 +83,13 @@
 
     Notes
     -----
-    The term lasts for `confirmed_s` after the start of the last call that confirmed it,
+    The term lasts for `confirmed_s` after the start of the last write that took effect,
     even if another call is in progress then. While the members report that the store
     answers none of them, it lasts for `offline_s`, but is valid only while most of the
-    electors that the row names follow this instance. While none of them has tried the
-    store yet it isn't valid, but doesn't end. A successor that the members
-    don't hear, in another part of a partitioned network, waits until it knows that they
-    don't (`PreviousTerm`).
+    electors that the row names follow this instance. While no member has tried the
+    store yet it isn't valid, but doesn't end. A successor in another part of a
+    partitioned network waits until it knows that too few electors are left to follow
+    this instance (`PreviousTerm`).
 
     Times are boot times, since others may take over while the machine is suspended.
     After a suspension the members must report again before an outage prolongs the term.
