Let a successor count members where a restored store has lost the electors

Cause: the successor went by the copy's row, which names the electors of some seconds before, or none: one that had left was enough, or nobody was asked.

A member now reports how many members its earlier coordinator had stated, and where the row is of an era before the present one the successor counts the earlier term as ended only when so many of them have left that no choice of electors among the others is a majority. The word of the holder that the copy names doesn't end it, as the store may have lost a takeover. After a kill of all processes nobody remembers a number, and the copy's electors count as before. Ruled out: waiting 30 s after each restoration without the coordinator.

--- a/packages/core/plantaincart_core/electorate.py
+++ b/packages/core/plantaincart_core/electorate.py
@@ -9,6 +9,7 @@
     "count_needed",
     "find_followed_until",
     "find_last_followed",
+    "find_last_followed_by_some",
 ]
 
 # Bounds the row that names the electors, in fleets of any size.
@@ -139,3 +140,37 @@
     if blocking <= 0:
         return -inf
     return sorted(last_heard_at.get(name, inf) for name in electors)[blocking - 1]
+
+
+def find_last_followed_by_some(
+    members: int, last_heard_at: Mapping[str, float]
+) -> float:
+    """
+    Find the same where the electors are some of the members, but not known.
+
+    Parameters
+    ----------
+    members : int
+        Number of members of the coordinator, itself among them.
+    last_heard_at : mapping of str to float
+        Time in seconds at which each of some members has last heard the coordinator.
+        They don't follow it any more.
+
+    Returns
+    -------
+    float
+        Time in seconds; infinity while the other members may include enough electors,
+        and minus infinity if there are too few members to follow a coordinator.
+
+    Examples
+    --------
+    >>> find_last_followed_by_some(5, {"a": 7.0, "b": 5.0})
+    inf
+    >>> find_last_followed_by_some(5, {"a": 7.0, "b": 5.0, "c": 6.0})
+    7.0
+    """
+    blocking = members - count_needed(min(members, MAX_ELECTORS)) + 1
+    if blocking <= 0:
+        return -inf
+    times = sorted(last_heard_at.values())
+    return times[blocking - 1] if blocking <= len(times) else inf
--- a/packages/core/plantaincart_core/tests/test_electorate.py
+++ b/packages/core/plantaincart_core/tests/test_electorate.py
@@ -10,6 +10,7 @@
     count_needed,
     find_followed_until,
     find_last_followed,
+    find_last_followed_by_some,
 )
 
 NAMES = tuple("abcdefg")
@@ -52,3 +53,18 @@
     later = choose_electors(electors, members - {lost})
     assert set(electors) - set(later) == {lost}
     assert len(later) == MAX_ELECTORS
+
+
+@pytest.mark.parametrize("members", [2, 5, 12, 31, 40, 100])
+def test_no_choice_of_electors_goes_on_after_enough_members_have_left(members):
+    """Electors that a restored store has lost must not go on beside a successor."""
+    names = [f"r{number:03}" for number in range(members)]
+    for left in range(members):
+        has_left = dict.fromkeys(names[:left], 0.0)
+        has_ended = find_last_followed_by_some(members, has_left) < inf
+        following = names[left:][: min(members, MAX_ELECTORS)]
+        electors = [*following, *names[: min(members, MAX_ELECTORS) - len(following)]]
+        until = find_followed_until(
+            electors, following[0], dict.fromkeys(following, 10.0)
+        )
+        assert not (has_ended and until > 0.0)
--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -286,7 +286,9 @@
         member = self._members.record_report(report, monotonic())
         self._term.record_report(report)
         if report.heard_epoch == self.epoch:
-            self._previous_term.record_left(report.member, report.earlier_silent_s)
+            self._previous_term.record_left(
+                report.member, report.earlier_silent_s, report.earlier_members
+            )
         for upstream, born in report.leaving_upstreams.items():
             self._view.record_leaving(upstream, born)
         self._placement_group.record_report(report)
--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -19,6 +19,7 @@
 from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.coordinator import Coordinator
 from plantaincart_router.direct.feed import TableFeed
+from plantaincart_router.direct.hearing import Hearing
 from plantaincart_router.direct.inquiry import (
     CoordinatorInquiry,
     answer_inquiry,
@@ -45,9 +46,6 @@
 
 # Seconds between attempts to vacate the coordinator row while the store is unreachable.
 RESIGN_RETRY_S = 0.4
-# Seconds after a notice with an extended grant duration for which a successor assumes
-# that such grants may still be valid.
-LONG_GRANTS_MEMORY_S = 40.0
 # Seconds for which the store may take to tell the coordinator before others are asked,
 # and intervals between reports from one question to the next.
 INQUIRY_DELAY_S = 0.3
@@ -99,16 +97,9 @@
         self._peer_identities: dict[str, bytes] = {}
         self._term = TermWatch(self._times, platform.store)
         self._row_read_failed = False
-        self._last_notice_at = 0.0
-        self._heard_epoch, self._heard_at = 0, 0.0
-        # Boot times at which this instance last heard the coordinator, and the earlier
-        # ones; an earlier process may have heard them until this one was started.
-        self._last_heard_at = self._earlier_heard_at = read_boot_time()
-        self._connected_at = 0.0
+        self._hearing = Hearing(self._times)
         self._coordinator_resigned = False
         self._resigned_epoch = 0
-        self._long_grants_at = float("-inf")
-        self._outage_notice_at = float("-inf")
         self._cut_off_until = float("-inf")
         self._probe = StoreProbe(
             self._times,
@@ -179,20 +170,15 @@
             if self.coordinator.is_cut_off:
                 self._cut_off_until = monotonic() + CUT_OFF_MEMORY_S
             self.coordinator = None
-            self._earlier_heard_at = read_boot_time()
+            self._hearing.record_own_end()
             self._term.forget()
             self._coordinator_resigned = False
         self._report()
         if self._lacks_coordinator and not self._leaving:
             await self._find_or_replace_coordinator()
 
-    @property
-    def _silent_since(self) -> float:
-        """Time in seconds from which on the coordinator is suspected."""
-        return max(self._last_notice_at, self._connected_at) + self._times.silent_s
-
     def _is_coordinator_silent(self) -> bool:
-        return monotonic() > self._silent_since
+        return monotonic() > self._hearing.silent_since
 
     async def _find_or_replace_coordinator(self) -> None:
         if monotonic() - self._term.read_at < self._choose_row_read_interval_s():
@@ -228,7 +214,7 @@
         if row is not None:
             self._connect(row)
         elif (
-            previously_read_at > self._silent_since
+            previously_read_at > self._hearing.silent_since
             and self._term.version != previous_version
         ):
             self._reconnect()
@@ -243,7 +229,7 @@
 
     @property
     def _known_epoch(self) -> int:
-        return max(self._view.epoch, self._term.known_epoch, self._heard_epoch)
+        return max(self._view.epoch, self._term.known_epoch, self._hearing.epoch)
 
     def _inquire(self) -> None:
         """Ask other instances for the coordinator, while the store doesn't tell."""
@@ -272,7 +258,7 @@
             if not self.coordinator.ended:
                 address = self._peer_address(self._settings)
                 term = make_term(self._settings.name, address, self.coordinator.epoch)
-        elif self._last_notice_at > self._connected_at and not self._lacks_coordinator:
+        elif self._hearing.has_notice and not self._lacks_coordinator:
             # Its notices have come lately.
             term = self._term.row
         if term is not None and term.epoch > report.epoch and self._report_socket:
@@ -308,7 +294,7 @@
             silent_s += monotonic() - measured_at
         self._coordinator_resigned = False
         self._disconnect()
-        self._leave_earlier_coordinator()
+        self._hearing.leave_earlier(row.epoch)
         self.coordinator = Coordinator(
             self._settings,
             self._view,
@@ -331,7 +317,7 @@
         if row is None or not row.electors:
             # A coordinator of an earlier build acts in an outage although its row
             # doesn't change, and names no electors who would know it.
-            renewed_at = max(renewed_at, self._outage_notice_at)
+            renewed_at = max(renewed_at, self._hearing.outage_notice_at)
         previous_term = PreviousTerm(
             self._times,
             row,
@@ -339,17 +325,15 @@
             self._estimate_previous_grant_duration_s(),
             self._settings.bounds.max_hold_s,
             silent_s,
+            self._term.is_restored(row),
+        )
+        previous_term.record_left(
+            self._settings.name,
+            self._hearing.measure_earlier_silence(),
+            self._hearing.earlier_members,
         )
-        previous_term.record_left(self._settings.name, self._measure_earlier_silence())
         return previous_term
 
-    def _leave_earlier_coordinator(self) -> None:
-        self._earlier_heard_at = max(self._earlier_heard_at, self._last_heard_at)
-
-    def _measure_earlier_silence(self) -> float:
-        """Return the seconds since a coordinator before the present one was heard."""
-        return read_boot_time() - self._earlier_heard_at
-
     async def _wait_for_better_candidates(self) -> bool:
         """
         Wait for candidates that reach upstreams or have more resources.
@@ -394,14 +378,13 @@
     def _estimate_previous_grant_duration_s(self) -> float:
         """Return the longest grant duration of the previous coordinator."""
         normal_s = min(self._times.hold_s, self._settings.bounds.max_hold_s)
-        if monotonic() - self._long_grants_at < LONG_GRANTS_MEMORY_S:
+        if self._hearing.may_have_long_grants():
             return self._settings.bounds.max_hold_s
         return normal_s
 
     def _connect(self, row: CoordinatorRow) -> None:
         self._disconnect()
-        if row.epoch != self._heard_epoch:
-            self._leave_earlier_coordinator()
+        self._hearing.leave_earlier(row.epoch)
         write_event("coordinator_known", holder=row.holder, epoch=row.epoch)
         if self._is_own_earlier(row):
             return
@@ -410,7 +393,7 @@
             self._context, DEALER, self._loop, self._receive_notice
         )
         self._notice_socket.connect(host, int(port))
-        self._connected_at = monotonic()
+        self._hearing.connected_at = monotonic()
         self._coordinator_resigned = False
         self._report()
 
@@ -442,9 +425,10 @@
             epoch=view.epoch,
             map_version=view.map_version,
             store_silent_s=self._probe.measure_silence(),
-            heard_epoch=self._heard_epoch,
-            heard_at=self._heard_at,
-            earlier_silent_s=self._measure_earlier_silence(),
+            heard_epoch=self._hearing.epoch,
+            heard_at=self._hearing.sent_at,
+            earlier_silent_s=self._hearing.measure_earlier_silence(),
+            earlier_members=self._hearing.earlier_members,
             leaving=self._leaving,
             loads=view.key_demand.pop_loads(),
             refusing=view.key_demand.pop_refused(),
@@ -469,7 +453,7 @@
 
     def _is_newly_connected(self) -> bool:
         """Whether the coordinator may lack what earlier ones were told."""
-        return monotonic() - self._connected_at < INTRODUCTION_S
+        return monotonic() - self._hearing.connected_at < INTRODUCTION_S
 
     def _handle_store_doubt(self, doubt: bool) -> None:
         """Test whether this instance reaches the store if the coordinator doesn't."""
@@ -519,18 +503,14 @@
         if self._term.row is None or notice.epoch < self._term.known_epoch:
             return
         if notice.doubt:
-            self._outage_notice_at = monotonic()
+            self._hearing.outage_notice_at = monotonic()
         if notice.resigned:
             self._coordinator_resigned = True
             self._resigned_epoch = notice.epoch
             self._term.defer_read()
             return
-        self._last_notice_at = monotonic()
-        self._last_heard_at = read_boot_time()
-        self._heard_epoch, self._heard_at = notice.epoch, notice.sent_at
+        self._hearing.record_notice(notice)
         self._handle_store_doubt(notice.doubt)
-        if notice.hold_s > self._times.hold_s:
-            self._long_grants_at = self._last_notice_at
         self._view.defer_removals(notice.removals_wait_s)
         self._apply_table_changes(notice)
         self._view.apply_notice(notice)
--- a/packages/router/plantaincart_router/direct/messagecheck.py
+++ b/packages/router/plantaincart_router/direct/messagecheck.py
@@ -66,6 +66,7 @@
     _check(isfinite(report.store_silent_s), "store_silent_s")
     _check_range([report.heard_at], MAX_CLOCK_S, "heard_at")
     _check(-1.0 <= report.earlier_silent_s <= MAX_CLOCK_S, "earlier_silent_s")
+    _check_range([report.earlier_members], MAX_COUNT, "earlier_members")
     for load in report.loads:
         _check_load(load)
     _check_range(report.in_flight.values(), MAX_COUNT, "in_flight")
--- a/packages/router/plantaincart_router/direct/previousterm.py
+++ b/packages/router/plantaincart_router/direct/previousterm.py
@@ -3,7 +3,10 @@
 from math import inf
 from time import monotonic
 
-from plantaincart_core.electorate import find_last_followed
+from plantaincart_core.electorate import (
+    find_last_followed,
+    find_last_followed_by_some,
+)
 from plantaincart_schema.generated.direct import CoordinatorRow
 
 from plantaincart_router.direct.settings import CoordinationSettings
@@ -31,6 +34,9 @@
     silent_s : float, optional
         Seconds for which the previous coordinator may have had no answer of the store,
         as its row shows; None if the row doesn't show it.
+    is_restored : bool
+        Whether the store was restored from a copy since the row was written, so that it
+        may have lost a later one, with another holder and other electors.
 
     Notes
     -----
@@ -44,6 +50,9 @@
     A coordinator keeps the electors of its predecessor until that one has ended, so
     that a chain of takeovers has the same ones.
 
+    Where the store may have lost the row that counts, the electors are taken to be any
+    of as many members as the earlier coordinator had by what its members have heard.
+
     It makes longer grants only after the store has been silent for
     `long_grants_after_s`. That silence can't have begun before the clock in its row.
     """
@@ -56,6 +65,7 @@
         grant_duration_s: float,
         longest_grant_s: float = 0.0,
         silent_s: float | None = None,
+        is_restored: bool = False,
     ) -> None:
         self._times = times
         self._row = row
@@ -68,7 +78,11 @@
             self._grant_duration_s = min(times.hold_s, self._longest_grant_s)
             required_s = times.long_grants_after_s * (1.0 - times.clock_drift)
             self._long_grants_from = monotonic() - silent_s + required_s
+        self._is_restored = is_restored
+        self._member_count = 0 if row is None else len(row.electors)
         self._last_heard_at: dict[str, float] = {}
+        # Those of them that may have been electors that the store has lost.
+        self._possible_electors = set(self.electors)
         self._is_end_logged = False
 
     @property
@@ -92,7 +106,7 @@
             )
         return True
 
-    def record_left(self, member: str, silent_s: float) -> None:
+    def record_left(self, member: str, silent_s: float, members: int = 0) -> None:
         """
         Record that a member follows no earlier coordinator any more.
 
@@ -102,9 +116,14 @@
             Name of the member.
         silent_s : float
             Seconds since it last heard of one; negative if that isn't known.
+        members : int
+            Number of members that an earlier coordinator has stated to it.
         """
         if silent_s < 0.0:
             return
+        if members:
+            self._member_count = max(self._member_count, members)
+            self._possible_electors.add(member)
         # A later process of the member can't follow an earlier coordinator, which
         # doesn't count processes that were started after its last confirmation.
         heard_at = min(monotonic() - silent_s, self._last_heard_at.get(member, inf))
@@ -144,17 +163,27 @@
         """Return when the holder is known to have ended its term, the only one."""
         if self._row is None or not self._row.electors or not self._row.earlier_ended:
             return None
+        if self._is_restored:
+            return None
         # Its process has ended its term, or is a later one.
         return self._last_heard_at.get(self._row.holder)
 
     def _find_offline_end(self) -> float:
         """Return the time by which no earlier coordinator acts without the store."""
-        if self._row is None or not self._row.electors:
-            return -inf
         left_at = self._find_holder_left()
         if left_at is not None:
             return left_at
-        last_followed = find_last_followed(self._row.electors, self._last_heard_at)
+        if self._is_restored:
+            last_followed = find_last_followed_by_some(
+                self._member_count,
+                {
+                    member: heard_at
+                    for member, heard_at in self._last_heard_at.items()
+                    if member in self._possible_electors
+                },
+            )
+        else:
+            last_followed = find_last_followed(self.electors, self._last_heard_at)
         followed_until = last_followed + self._times.followed_s
         # The earlier coordinator's clock may run slow.
         offline_s = self._times.offline_s * (1.0 + self._times.clock_drift)
--- a/packages/router/plantaincart_router/direct/termwatch.py
+++ b/packages/router/plantaincart_router/direct/termwatch.py
@@ -142,6 +142,12 @@
         """
         self.row, self.changed_at = row, monotonic()
 
+    def is_restored(self, row: CoordinatorRow | None) -> bool:
+        """Whether the store may have lost later states of a row, as it was restored."""
+        return self.era > 0 and (
+            row is None or not is_epoch_of_era(row.epoch, self.era)
+        )
+
     def measure_silence(self) -> float | None:
         """
         Return for how long the holder may have had no answer of the store.
--- a/packages/router/plantaincart_router/direct/tests/test_inquiry.py
+++ b/packages/router/plantaincart_router/direct/tests/test_inquiry.py
@@ -204,7 +204,7 @@
         follower = others[0].follower
         row = follower._term.row
         silent = make_term("r9", "127.0.0.1:9", row.epoch + step)
-        follower._last_notice_at = follower._connected_at = 0.0
+        follower._hearing.notice_at = follower._hearing.connected_at = 0.0
         follower._inquiry._receive(answer_inquiry(silent))
         assert follower._term.row == row
 
@@ -228,7 +228,7 @@
         _, others = list_others(system)
         follower = others[0].follower
         earlier = follower._term.row
-        follower._last_notice_at = follower._connected_at = 0.0
+        follower._hearing.notice_at = follower._hearing.connected_at = 0.0
         address = follower._peer_address(others[1].settings)
         later = make_term(others[1].settings.name, address, earlier.epoch + 1)
         follower._adopt_answer(later)
