Divide limits among members that a coordinator no longer hears, too

A coordinator now states no fewer members than it had when the store last confirmed its term, and until all earlier terms have ended no fewer than those had. Parts of instances that are really lost stay unused meanwhile, 2 s in an ordinary takeover and as long as the store is silent in an outage.

--- a/packages/router/plantaincart_router/direct/coordinator.py
+++ b/packages/router/plantaincart_router/direct/coordinator.py
@@ -15,6 +15,7 @@
 
 from plantaincart_router.direct.cutoff import CutOffWatch
 from plantaincart_router.direct.feed import TableFeed
+from plantaincart_router.direct.fleetsize import FleetSize
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.interface import GrantCalls
 from plantaincart_router.direct.longgrants import LongGrants
@@ -125,6 +126,7 @@
         )
         self._sequence = 0
         self._members = Membership(self._times)
+        self._fleet_size = FleetSize(self._members, previous_term)
         self._placement_group = Placements(
             settings,
             view,
@@ -175,6 +177,7 @@
             view,
             self._term,
             self._members,
+            self._fleet_size,
             self._granter,
             self._placements,
             feeds,
@@ -343,6 +346,7 @@
 
     def _handle_confirmed(self) -> None:
         self._long_grants.end()
+        self._fleet_size.record_confirmed()
         self._granter.refusing_processes.clear()
 
     def _check_superseded(self) -> None:
--- a/packages/router/plantaincart_router/direct/noticewriter.py
+++ b/packages/router/plantaincart_router/direct/noticewriter.py
@@ -13,6 +13,7 @@
 
 from plantaincart_router.direct.clock import read_boot_time
 from plantaincart_router.direct.feed import TableFeed
+from plantaincart_router.direct.fleetsize import FleetSize
 from plantaincart_router.direct.granter import Granter
 from plantaincart_router.direct.maphistory import MapHistory
 from plantaincart_router.direct.membership import Member, Membership
@@ -44,6 +45,8 @@
         Term of the coordinator.
     members : Membership
         Live instances.
+    fleet_size : FleetSize
+        Number of instances that the notices state.
     granter : Granter
         Tells for how long keys are granted.
     placements : mapping of str to ServicePlacement
@@ -67,6 +70,7 @@
         view: SystemView,
         term: Term,
         members: Membership,
+        fleet_size: FleetSize,
         granter: Granter,
         placements: Mapping[str, ServicePlacement],
         feeds: Sequence[TableFeed],
@@ -76,6 +80,7 @@
         self._view = view
         self._term = term
         self._members = members
+        self._fleet_size = fleet_size
         self._granter = granter
         self._placements = placements
         self._feeds = feeds
@@ -128,7 +133,7 @@
             coordinator=self._term.holder,
             epoch=self._term.epoch,
             sent_at=read_boot_time(),
-            members=len(self._members),
+            members=self._fleet_size.count(),
             rank=self._members.find_rank(name),
             map_version=self.map_history.version,
             complete=changes is None,
--- a/packages/router/plantaincart_router/direct/previousterm.py
+++ b/packages/router/plantaincart_router/direct/previousterm.py
@@ -38,6 +38,11 @@
         Whether the store was restored from a copy since the row was written, so that it
         may have lost a later one, with another holder and other electors.
 
+    Attributes
+    ----------
+    member_count : int
+        Highest number of members that earlier coordinators are known to have had.
+
     Notes
     -----
     A coordinator that the store doesn't answer goes on while it is followed by most of
@@ -79,7 +84,7 @@
             required_s = times.long_grants_after_s * (1.0 - times.clock_drift)
             self._long_grants_from = monotonic() - silent_s + required_s
         self._is_restored = is_restored
-        self._member_count = 0 if row is None else len(row.electors)
+        self.member_count = 0 if row is None else len(row.electors)
         self._last_heard_at: dict[str, float] = {}
         # Those of them that may have been electors that the store has lost.
         self._possible_electors = set(self.electors)
@@ -122,7 +127,7 @@
         if silent_s < 0.0:
             return
         if members:
-            self._member_count = max(self._member_count, members)
+            self.member_count = max(self.member_count, members)
             self._possible_electors.add(member)
         # A later process of the member can't follow an earlier coordinator, which
         # doesn't count processes that were started after its last confirmation.
@@ -175,7 +180,7 @@
             return left_at
         if self._is_restored:
             last_followed = find_last_followed_by_some(
-                self._member_count,
+                self.member_count,
                 {
                     member: heard_at
                     for member, heard_at in self._last_heard_at.items()
