Send no request after SIGTERM that can't end before SIGKILL

Callers saw: in a planned stop, a POST whose head or body was complete late in the grace period was passed on, ran, and was cut at its end without an answer.

Cause: after SIGTERM nothing compared a request with the time left. Each step before a send could lead to one that was cut: slow heads and bodies, waits, retries, repeats for silence, connections that open late, relayed requests.

Change: ShutdownWindow decides for all of them. Requests whose deadline is before the end are served as before; others are sent only in the first half of the grace period and if they are expected to end in time. The rest is refused at once as not run, and what is still at work at the end gets 504.

--- a/packages/router/plantaincart_router/direct/gateway.py
+++ b/packages/router/plantaincart_router/direct/gateway.py
@@ -1,8 +1,11 @@
 """Handling of a caller's request: route, attempts at upstreams, answer."""
 
 from asyncio import Task, current_task, sleep, timeout
+from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from time import monotonic
+from typing import TypeVar
 
 from plantaincart_core.directory import UpstreamRecord
 from plantaincart_core.returning import ReturnDetector
@@ -57,6 +60,8 @@
 
 __all__ = ["Gateway"]
 
+T = TypeVar("T")
+
 # Maximum number of attempts at the owner of a key, and of attempts to connect to it. A
 # second attempt to connect helps if the owner had no free connections; an unreachable
 # owner stays unreachable for longer than most callers wait.
@@ -221,7 +226,7 @@
             await self._wait_for_configuration(metadata, started_at)
             call = self._start_call(request, metadata, caller, started_at)
             with self._answer_memory.reserve(call.route.name):
-                await self._accounts.acquire(call)
+                await self._wait(call, lambda: self._accounts.acquire(call))
                 answer = await self._run(call)
             self._answer_memory.record_answer(call.route.name, len(answer.body))
             self._record_end(call, None)
@@ -293,7 +298,7 @@
         self._quarantine.check(call)
         self._admit(call)
         while True:
-            record = await self._selector.find_upstream(call)
+            record = await self._wait(call, lambda: self._selector.find_upstream(call))
             try:
                 return await self._send_once(call, record)
             except NotRunError as error:
@@ -305,7 +310,9 @@
                     detail=str(error),
                     attempt=call.attempts,
                 )
-                await self._prepare_retry(call, record, error)
+                await self._wait(
+                    call, partial(self._prepare_retry, call, record, error)
+                )
             except LostError as error:
                 call.may_have_run = True
                 # The retry is sent only on a connection that has stayed open.
@@ -326,10 +333,42 @@
         try:
             # The request may have waited, or ended an upstream.
             self._quarantine.check(call)
+            expected = self._costs.estimate(call, record)
+            self._check_shutdown(call, expected.wait_s + expected.work_s)
         except RefusedError:
             self._gate.release(record)
             raise
-        return await self.silence.send(call, record)
+        try:
+            async with self._view.shutdown.limit_run() as limit:
+                return await self.silence.send(call, record)
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            raise LostError("the instance stops", timed_out=True) from error
+
+    async def _wait(self, call: Call, step: Callable[[], Awaitable[T]]) -> T:
+        """Take a step before a request is sent; reject it if the shutdown is near."""
+        work_s = self._costs.estimate_work(call)
+        self._check_shutdown(call, work_s)
+        shutdown = self._view.shutdown
+        try:
+            async with shutdown.limit_wait(call.deadline_at, work_s) as limit:
+                return await step()
+        except TimeoutError:
+            if limit.expired():
+                raise self._refuse_stopping(call) from None
+            raise
+
+    def _check_shutdown(self, call: Call, expected_s: float) -> None:
+        """Reject a request that can't end before this instance does."""
+        if not self._view.shutdown.allows_send(call.deadline_at, expected_s):
+            raise self._refuse_stopping(call)
+
+    def _refuse_stopping(self, call: Call) -> RefusedError:
+        # Other instances can take it at once.
+        return self._rejections.refuse_unserved(
+            call, Reason.SHUTTING_DOWN, "the instance stops", 0.0
+        )
 
     def _admit(self, call: Call) -> None:
         now = monotonic()
@@ -344,7 +383,9 @@
             policy.record_end(call, refusal)
 
     def _check_retry_after_loss(self, call: Call, detail: str) -> None:
-        timed_out = call.remaining_s <= self._settings.send.least_left_s
+        end_at = min(call.deadline_at, self._view.shutdown.end_at)
+        remaining_s = end_at - monotonic()
+        timed_out = remaining_s <= self._settings.send.least_left_s
         reason = Reason.UPSTREAM_TIMEOUT if timed_out else Reason.UPSTREAM_LOST
         is_suspect = self._view.crashes.is_suspect(
             call.request, call.service.name, monotonic()
@@ -403,6 +444,8 @@
         work_s = self._view.loads.estimate_work_s(call.route.name, 0.0)
         if call.remaining_s < max(work_s, self._settings.send.least_left_s):
             return False
+        if not self._view.shutdown.allows_send(call.deadline_at, work_s):
+            return False
         budget = self._retries.find(call.service.name)
         allowed = budget.spend(monotonic(), self._view.members, call.retry_rank)
         if not allowed:
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -18,6 +18,7 @@
 from plantaincart_router.direct.pool import UpstreamPools
 from plantaincart_router.direct.reachabilityprobe import ReachabilityProbe
 from plantaincart_router.direct.settings import DirectSettings
+from plantaincart_router.direct.shutdownwindow import EXIT_RESERVE_S
 from plantaincart_router.direct.view import SystemView
 from plantaincart_router.direct.where.explainer import RequestExplainer
 from plantaincart_router.direct.where.handler import WhereHandler
@@ -33,8 +34,6 @@
 # Seconds after SIGTERM for which new connections are accepted, until the load balancer
 # has seen two failed readiness checks.
 DRAIN_ACCEPT_S = 2.5
-# Seconds reserved at the end of the grace period for the exit of the process.
-EXIT_RESERVE_S = 0.3
 MAINTENANCE_INTERVAL_S = 0.25
 # Maximum size of the fields between instances in the head of a relayed request.
 RELAY_HEAD_BYTES = 2048
@@ -140,6 +139,7 @@
         """Fail the readiness check, finish the requests in progress, and stop."""
         started_at = monotonic()
         self._draining = True
+        self.view.shutdown.begin()
         write_event("stopping", in_flight=self.gateway.in_flight)
         withdrawal = create_task(self.follower.withdraw())
         self._tasks.append(withdrawal)
@@ -149,13 +149,24 @@
         await sleep(
             max(0.0, min(DRAIN_ACCEPT_S, grace_s / 2) - (monotonic() - started_at))
         )
-        remaining_s = grace_s - (monotonic() - started_at)
-        open_connections, open_relays = await gather(
-            self._front_server.drain(remaining_s), self._relay_server.drain(remaining_s)
+        open_connections, open_relays = await self._drain(
+            self.view.shutdown.last_send_at
         )
+        if open_connections or open_relays:
+            # What isn't there by now couldn't be sent any more.
+            for server in (self._front_server, self._relay_server):
+                server.refuse_incomplete("the instance stops")
+            open_connections, open_relays = await self._drain(started_at + grace_s)
         write_event("stopped", connections=open_connections, relays=open_relays)
         self.close()
 
+    async def _drain(self, until: float) -> tuple[int, int]:
+        """Return how many connections and relays are still open at a time."""
+        limit_s = max(0.0, until - monotonic())
+        return await gather(
+            self._front_server.drain(limit_s), self._relay_server.drain(limit_s)
+        )
+
     def close(self) -> None:
         """Stop at once, without waiting for requests in progress."""
         for task in self._tasks:
--- a/packages/router/plantaincart_router/direct/relayserver.py
+++ b/packages/router/plantaincart_router/direct/relayserver.py
@@ -101,6 +101,10 @@
             return RelayOutcome.DECLINED, None, f"upstream {wanted.upstream} not known"
         if self._transport.retry_delay_s(record, monotonic()) > 0.0:
             return RelayOutcome.UNREACHED, None, "unreachable a moment ago"
+        deadline_at = started_at + wanted.remaining_s
+        shutdown = self._view.shutdown
+        if not shutdown.allows_send(deadline_at, 0.0):
+            return RelayOutcome.DECLINED, None, "stopping"
         task = current_task()
         if wanted.idempotent and task is not None:
             caller.set_disconnect_callback(lambda: _cancel(task))
@@ -110,16 +114,21 @@
             request=plain_request,
             request_id=self._header_codec.read_request(plain_request).request_id,
             idempotent=wanted.idempotent,
-            deadline_at=started_at + wanted.remaining_s,
+            deadline_at=deadline_at,
         )
         try:
             with self._answer_memory.reserve(kind):
-                answer = await self._transport.exchange(attempt, record)
+                async with shutdown.limit_run() as limit:
+                    answer = await self._transport.exchange(attempt, record)
         except RefusedError as error:
             # Nothing was sent, and another instance may have room.
             return RelayOutcome.DECLINED, None, str(error)
         except NotRunError as error:
             return RelayOutcome.UNREACHED, None, str(error)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return RelayOutcome.TIMED_OUT, None, "stopping"
         except LostError as error:
             outcome = RelayOutcome.LOST
             if error.timed_out:
--- a/packages/router/plantaincart_router/direct/relaytransport.py
+++ b/packages/router/plantaincart_router/direct/relaytransport.py
@@ -22,6 +22,7 @@
     AttemptTransport,
     DirectTransport,
     check_drain_bound,
+    check_shutdown,
     record_backoff,
 )
 from plantaincart_router.direct.view import SystemView
@@ -138,6 +139,7 @@
             connection = await self._acquire(relay, attempt.remaining_s)
             try:
                 check_drain_bound(self._view, record)
+                check_shutdown(self._view, attempt)
             except NotRunError:
                 self._return_connection(relay, connection)
                 raise
@@ -186,11 +188,12 @@
         self, connection: HttpConnection, attempt: Attempt, record: UpstreamRecord
     ) -> HttpAnswer:
         remaining_s = attempt.remaining_s
+        told_s = self._view.shutdown.cap(attempt.deadline_at) - monotonic()
         request = self._header_codec.write_request(
-            attempt.request, record.id, max(remaining_s, 0.001)
+            attempt.request, record.id, max(told_s, 0.001)
         )
         return await connection.exchange(
-            write_relayed(request, record, remaining_s, attempt.idempotent),
+            write_relayed(request, record, told_s, attempt.idempotent),
             remaining_s,
             attempt.progress.record_sent,
             lambda answer: self._belongs(answer, attempt.request_id),
--- a/packages/router/plantaincart_router/direct/transport.py
+++ b/packages/router/plantaincart_router/direct/transport.py
@@ -197,8 +197,9 @@
         """
         pools = self._pools
         remaining_s = attempt.remaining_s
+        told_s = self._view.shutdown.cap(attempt.deadline_at) - monotonic()
         request = self._header_codec.write_request(
-            attempt.request, record.id, max(remaining_s, 0.001)
+            attempt.request, record.id, max(told_s, 0.001)
         )
         is_first = is_new
 
@@ -258,6 +259,7 @@
     def _begin_write(self, attempt: Attempt, record: UpstreamRecord) -> None:
         """Raise NotRunError if the upstream must get no request any more."""
         check_drain_bound(self._view, record)
+        check_shutdown(self._view, attempt)
         if self._view.backoffs.remaining_s(record, monotonic()) > 0.0:
             # Another request was rejected while the connection was opened.
             raise NotRunError("the upstream asked for a pause", False, False)
@@ -285,6 +287,12 @@
         raise NotRunError(f"upstream {record.id} has left", False, False)
 
 
+def check_shutdown(view: SystemView, attempt: Attempt) -> None:
+    """Raise NotRunError if this instance stops before a request could end."""
+    if not view.shutdown.allows_send(attempt.deadline_at, 0.0):
+        raise NotRunError("the instance stops", False, False)
+
+
 def record_backoff(
     view: SystemView, record: UpstreamRecord, metadata: AnswerMetadata
 ) -> None:
--- a/packages/router/plantaincart_router/direct/view.py
+++ b/packages/router/plantaincart_router/direct/view.py
@@ -41,6 +41,7 @@
 from plantaincart_router.direct.settings import DirectSettings
 from plantaincart_router.direct.sharedfact import SharedFact
 from plantaincart_router.direct.sharedroom import SharedRoom
+from plantaincart_router.direct.shutdownwindow import ShutdownWindow
 from plantaincart_router.direct.silencefact import SilenceFact
 from plantaincart_router.direct.speedfact import SpeedFact
 from plantaincart_router.direct.store import StoreRow, TableRows
@@ -71,6 +72,8 @@
 
     Attributes
     ----------
+    shutdown : ShutdownWindow
+        Which requests may still be sent after SIGTERM.
     reachability : UpstreamReachability
         Whether this instance can connect to any upstream.
     crashes : CrashLedger
@@ -116,6 +119,7 @@
         self.directory = UpstreamDirectory()
         self._closures = DataCentreClosures(self.directory)
         self.draining = DrainWatch(self.directory, settings.bounds)
+        self.shutdown = ShutdownWindow(settings.bounds.shutdown_grace_s)
         self.reachability = pools.reachability
         self.reachability.directory = self.directory
         self.upstreams_loaded = False
--- a/packages/router/plantaincart_router/http/caller.py
+++ b/packages/router/plantaincart_router/http/caller.py
@@ -65,6 +65,10 @@
     def close(self) -> None:
         """Close the connection after the buffered output has been sent."""
 
+    @abstractmethod
+    def refuse_incomplete(self, detail: str) -> None:
+        """Reject a request that hasn't arrived completely, if there is one."""
+
     @abstractmethod
     def abort(self) -> None:
         """Close the connection immediately and discard buffered output."""
--- a/packages/router/plantaincart_router/http/connection.py
+++ b/packages/router/plantaincart_router/http/connection.py
@@ -106,6 +106,11 @@
         self._transport.close()
         self._timeout.set(self._limits.body_timeout_s)
 
+    def refuse_incomplete(self, detail: str) -> None:
+        """Reject a request that hasn't arrived completely, if there is one."""
+        if self._state in (_State.HEAD, _State.BODY):
+            self._refuse(503, Reason.SHUTTING_DOWN, detail)
+
     def abort(self) -> None:
         """Close the connection immediately and discard buffered output."""
         self._state = _State.CLOSING
--- a/packages/router/plantaincart_router/http/server.py
+++ b/packages/router/plantaincart_router/http/server.py
@@ -138,6 +138,11 @@
             pass
         return len(self._connections)
 
+    def refuse_incomplete(self, detail: str) -> None:
+        """Reject the requests that haven't arrived completely; they haven't run."""
+        for connection in tuple(self._connections):
+            connection.refuse_incomplete(detail)
+
     def close(self) -> None:
         """Stop accepting and abort all connections."""
         if self._server is not None:
