Let instances name another address than the one they listen on

Instances name their address for peers and relays to each other. It was always the one that they listen on, so that they couldn't run behind a forwarder or address translation, and the soak couldn't put anything between them.

--- a/packages/router/plantaincart_router/direct/follower.py
+++ b/packages/router/plantaincart_router/direct/follower.py
@@ -244,7 +244,7 @@
         return MemberReport(
             member=self._settings.name,
             incarnation=self._incarnation,
-            address=self._peer_address(self._settings),
+            address=self._settings.peer_address,
             epoch=self._known_epoch,
             map_version=0,
             store_silent_s=-1.0,
@@ -256,7 +256,7 @@
         term = None
         if self.coordinator is not None:
             if not self.coordinator.ended:
-                address = self._peer_address(self._settings)
+                address = self._settings.peer_address
                 term = make_term(self._settings.name, address, self.coordinator.epoch)
         elif self._hearing.has_notice and not self._lacks_coordinator:
             # Its notices have come lately.
@@ -274,10 +274,6 @@
         self._inquiry.close()
         self._connect(term)
 
-    @staticmethod
-    def _peer_address(settings: DirectSettings) -> str:
-        return f"{settings.host}:{settings.peer_port}"
-
     async def _claim(self) -> None:
         await sleep(self._random.random() * self._times.candidate_s)
         if not await self._wait_for_better_candidates():
@@ -286,7 +282,7 @@
         replaced_row, renewed_at = self._term.row, self._term.changed_at
         silent_s, measured_at = self._term.measure_silence(), monotonic()
         row = await self._term.claim(
-            self._settings.name, self._peer_address(self._settings), self._view.epoch
+            self._settings.name, self._settings.peer_address, self._view.epoch
         )
         if row is None:
             return
@@ -421,7 +417,7 @@
         report = MemberReport(
             member=settings.name,
             incarnation=self._incarnation,
-            address=self._peer_address(settings),
+            address=settings.peer_address,
             epoch=view.epoch,
             map_version=view.map_version,
             store_silent_s=self._probe.measure_silence(),
--- a/packages/router/plantaincart_router/direct/instance.py
+++ b/packages/router/plantaincart_router/direct/instance.py
@@ -121,7 +121,7 @@
         await self._ready_server.start(settings.host, settings.ready_port)
         await self._metrics_server.start(settings.host, settings.metrics_port)
         relay_port = await self._relay_server.start(settings.host, settings.relay_port)
-        self.view.relay_fact.address = f"{settings.host}:{relay_port}"
+        self.view.relay_fact.address = settings.make_relay_address(relay_port)
         self.follower.start(get_running_loop())
         lasting: dict[str, Callable[[], Awaitable[None]]] = {
             f"feed {feed.table}": feed.follow for feed in self._feeds
--- a/packages/router/plantaincart_router/direct/settings.py
+++ b/packages/router/plantaincart_router/direct/settings.py
@@ -423,6 +423,10 @@
     relay_port : int
         TCP port for requests of instances that are cut off from the upstreams; 0 for a
         free one.
+    advertised_host : str
+        IP address at which other instances connect to this one; empty for `host`.
+    advertised_peer_port, advertised_relay_port : int
+        TCP ports at which they connect to `peer_port` and `relay_port`; 0 for these.
     """
 
     name: str
@@ -433,6 +437,9 @@
     peer_port: int
     metrics_port: int = 9464
     relay_port: int = 0
+    advertised_host: str = ""
+    advertised_peer_port: int = 0
+    advertised_relay_port: int = 0
     bounds: BoundSettings = field(default_factory=BoundSettings)
     resources: ResourceSettings = field(default_factory=ResourceSettings)
     feed: FeedSettings = field(default_factory=FeedSettings)
@@ -444,3 +451,22 @@
     load: LoadSettings = field(default_factory=LoadSettings)
     room: RoomSettings = field(default_factory=RoomSettings)
     spread: KeyBalanceSettings = field(default_factory=KeyBalanceSettings)
+
+    @property
+    def peer_address(self) -> str:
+        """Address at which other instances connect to the port for peers."""
+        return self._advertise(self.advertised_peer_port or self.peer_port)
+
+    def make_relay_address(self, bound_port: int) -> str:
+        """
+        Return the address at which other instances connect to the port for relays.
+
+        Parameters
+        ----------
+        bound_port : int
+            TCP port that is listened on.
+        """
+        return self._advertise(self.advertised_relay_port or bound_port)
+
+    def _advertise(self, port: int) -> str:
+        return f"{self.advertised_host or self.host}:{port}"
--- a/packages/router/plantaincart_router/direct/tests/test_inquiry.py
+++ b/packages/router/plantaincart_router/direct/tests/test_inquiry.py
@@ -192,7 +192,7 @@
         asking = others[0].follower
         members = coordinator.follower.coordinator._members
         report = replace(asking._make_inquiry(), member="unknown", epoch=0)
-        asking._inquiry.ask(report, [asking._peer_address(coordinator.settings)])
+        asking._inquiry.ask(report, [coordinator.settings.peer_address])
         await sleep(3 * FAST.report_s)
         assert members.get("unknown") is None
 
@@ -229,7 +229,7 @@
         follower = others[0].follower
         earlier = follower._term.row
         follower._hearing.notice_at = follower._hearing.connected_at = 0.0
-        address = follower._peer_address(others[1].settings)
+        address = others[1].settings.peer_address
         later = make_term(others[1].settings.name, address, earlier.epoch + 1)
         follower._adopt_answer(later)
         assert follower._term.row == later
