--- a/packages/testing/plantaincart_testing/pipe.py
+++ b/packages/testing/plantaincart_testing/pipe.py
@@ -134,7 +134,10 @@
         self._connecting: Task[None] | None = None
 
     def connect(self) -> None:
-        """Open the socket to the target."""
+        """Open the socket to the target, which no handshake reaches in a silence."""
+        if self._is_dropping(to_target=True) or self._is_dropping(to_target=False):
+            self.silence()
+            return
         self._connecting = get_running_loop().create_task(self._connect())
 
     def set_faults(self, faults: RouteFaults) -> None:
--- a/packages/testing/plantaincart_testing/tests/test_proxy.py
+++ b/packages/testing/plantaincart_testing/tests/test_proxy.py
@@ -132,6 +132,20 @@
         await send_with_short_timeout(other)
 
 
+async def test_connection_that_is_opened_in_a_silence_never_reaches_the_target(
+    proxy: ProxyFixture,
+) -> None:
+    """They filled the target's connections, which it never saw end."""
+    proxy.route.set_faults(RouteFaults(mode=PassMode.SILENT))
+    connections = [await proxy.open() for _ in range(3)]
+    proxy.route.set_faults(RouteFaults())
+    for connection in connections:
+        with raises(AnswerTimeoutError):
+            await send_with_short_timeout(connection)
+    assert not proxy.target.connections
+    assert await send(await proxy.open()) == b"x"
+
+
 @mark.parametrize(
     ("direction", "handled"), [(Direction.TO_TARGET, 0), (Direction.TO_SOURCE, 1)]
 )
