Check term and keys when a grant is written, not when its connection is opened

Found by reading (design/grants.md, not covered): whether a grant was still due was checked before its connection was opened, which may take the time of a call. A connection that opened after the term had ended, or after its keys had been released, carried the grant all the same; an upstream that had started again meanwhile, or that no successor reaches, accepts it (OWNER). Its expiry counted from before the connection, too, so that keys could count as free too early.

Change: both are decided directly before the bytes are written. A call that isn't due any more keeps its connection and counts as no failure.

--- a/packages/router/plantaincart_router/direct/granter.py
+++ b/packages/router/plantaincart_router/direct/granter.py
@@ -267,8 +267,8 @@
             Whether this instance has granted the same keys to the upstream before.
         is_current : callable, optional
             Returns whether the keys are still assigned to this upstream. It is checked
-            before the call is sent, which may be queued behind other calls for seconds
-            while the upstream doesn't answer.
+            before the call is queued behind others and before its bytes are written,
+            since an upstream may take long to answer those, or to accept a connection.
 
         Returns
         -------
@@ -283,21 +283,32 @@
         process = (record.id, record.born)
         previous_expiry = self._grant_expiries.get(process, 0.0)
         margin_s = self._settings.call_timeout_s + self._settings.hold_margin_s
+
+        def may_grant() -> bool:
+            return self.may_call and (is_current is None or is_current())
+
         try:
             # Calls to one process are serialised, so that they share one connection.
             async with self._locks.setdefault(process, Lock()):
-                if not self.may_call or (is_current is not None and not is_current()):
+                if not may_grant():
                     return False
                 # It may have changed while this call was queued.
                 duration_s = self.grant_duration_s
                 max_duration_s = duration_s * (1.0 + self._settings.clock_drift)
                 previous_expiry = self._grant_expiries.get(process, 0.0)
-                self.extend_grant_expiry(
-                    *process, monotonic() + max_duration_s + margin_s
-                )
+
+                def begin_write() -> None:
+                    if not may_grant():
+                        raise _OutdatedError
+                    self.extend_grant_expiry(
+                        *process, monotonic() + max_duration_s + margin_s
+                    )
+
                 await self._call_upstream(
-                    record, key_range, duration_s, handover, renewal
+                    record, key_range, duration_s, handover, renewal, begin_write
                 )
+        except _OutdatedError:
+            return False
         except UpstreamDisplacedError:
             # The process has ended, so its grants are void.
             self._grant_expiries[process] = 0.0
@@ -330,12 +341,15 @@
         duration_s: float,
         handover: str,
         renewal: bool,
+        begin_write: Callable[[], None],
     ) -> None:
         """Make a grant call, and record whether the upstream answers."""
         process, started_at = (record.id, record.born), monotonic()
         self.outcomes.record_start(process)
         try:
-            await self._calls.grant(record, key_range, duration_s, handover, renewal)
+            await self._calls.grant(
+                record, key_range, duration_s, handover, renewal, begin_write
+            )
         except (GrantRefusedError, AnswerMalformedError):
             self.outcomes.record_answer()
             raise
@@ -478,5 +492,9 @@
         return self._renewed_grants.get(name, (None, None))[1] == key_range
 
 
+class _OutdatedError(Exception):
+    """The keys or the term have changed before a call was written."""
+
+
 def _ignore() -> None:
     pass
--- a/packages/router/plantaincart_router/direct/interface.py
+++ b/packages/router/plantaincart_router/direct/interface.py
@@ -1,6 +1,7 @@
 """Interface to a platform: store, header fields, rows, and calls to upstreams."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from plantaincart_core.directory import UpstreamRecord
@@ -221,6 +222,7 @@
         duration_s: float,
         handover: str = "",
         renewal: bool = False,
+        before_write: Callable[[], None] | None = None,
     ) -> None:
         """
         Grant keys to an upstream for a limited time; a repeated call renews the grant.
@@ -239,6 +241,9 @@
             Whether the call must use the connection on which the upstream has accepted
             a grant with this token. Another one may reach a later process at the same
             address, and no two processes may get the same fencing token.
+        before_write : callable, optional
+            Called directly before the call is written, since opening a connection takes
+            time. If it raises, nothing is sent.
 
         Raises
         ------
--- a/packages/router/plantaincart_router/direct/tests/fakes.py
+++ b/packages/router/plantaincart_router/direct/tests/fakes.py
@@ -353,7 +353,15 @@
         self.refuses_connections = False
         self.calls = []
 
-    async def grant(self, upstream, key_range, duration_s, handover="", renewal=False):
+    async def grant(
+        self,
+        upstream,
+        key_range,
+        duration_s,
+        handover="",
+        renewal=False,
+        before_write=None,
+    ):
         if self.hanging:
             await self._hang(upstream, FAST.call_timeout_s)
         if self.refuses_connections and not renewal:
@@ -365,6 +373,8 @@
             raise UpstreamDisplacedError("421")
         if self.instance not in target.connected:
             self.connected_at = monotonic()
+        if before_write is not None:
+            before_write()
         accepted_tokens = target.connected.setdefault(self.instance, set())
         self.calls.append(("grant", upstream.id, key_range, renewal))
         if target.find_highest_fence(key_range.first, key_range.last) > key_range.fence:
--- a/packages/router/plantaincart_router/direct/tests/test_granter.py
+++ b/packages/router/plantaincart_router/direct/tests/test_granter.py
@@ -3,6 +3,7 @@
 from asyncio import create_task, sleep, timeout
 from time import monotonic
 
+import pytest
 from plantaincart_core.ownermap import KeyRange
 from plantaincart_router.direct.granter import (
     MAX_PAUSE_S,
@@ -59,7 +60,9 @@
 class GrantTimeoutGrants(MemoryGrants):
     """Grants time out."""
 
-    async def grant(self, upstream, keys, hold_s, handover="", renewal=False):
+    async def grant(
+        self, upstream, keys, hold_s, handover="", renewal=False, before_write=None
+    ):
         self.calls.append(("grant", upstream.id, keys, renewal))
         await sleep(FAST.call_timeout_s)
         raise AnswerTimeoutError("silent")
@@ -100,6 +103,45 @@
     assert [keys for _, _, keys, _ in calls.calls] == [GRANTED]
 
 
+class SlowConnectGrants(MemoryGrants):
+    """Connections take long to open."""
+
+    connect_s = FAST.call_timeout_s
+
+    async def grant(self, *args, **options):
+        await sleep(self.connect_s)
+        await super().grant(*args, **options)
+
+
+@pytest.mark.parametrize("ended", ["term", "keys"])
+async def test_grant_is_not_written_after_keys_or_term_have_changed(ended):
+    """A connection opened after a takeover, and an outdated grant went out on it."""
+    upstream = MemoryUpstream("u0")
+    granter = Granter(SlowConnectGrants({"u0": upstream}), FAST, 10.0)
+    is_current = True
+    request = create_task(
+        granter.grant(make_record("u0"), GRANTED, is_current=lambda: is_current)
+    )
+    await sleep(FAST.call_timeout_s / 2)
+    if ended == "term":
+        granter.enabled = False
+    else:
+        is_current = False
+    assert not await request
+    assert upstream.grants == []
+    assert not granter.is_failing("u0", 1)
+
+
+async def test_grant_expires_by_the_time_at_which_it_was_written():
+    """Keys counted as free while an upstream still held what had been sent late."""
+    upstream = MemoryUpstream("u0")
+    granter = Granter(SlowConnectGrants({"u0": upstream}), FAST, 10.0)
+    granter.grant_duration_s = FAST.hold_s
+    await granter.grant(make_record("u0"), GRANTED)
+    margin_s = FAST.call_timeout_s + FAST.hold_margin_s
+    assert granter.grant_expiry("u0", 1) >= upstream.grants[0].expires_at + margin_s
+
+
 async def test_failing_process_may_be_tried_after_a_pause_that_grows():
     upstream = MemoryUpstream("u0", reachable=False)
     granter = Granter(MemoryGrants({"u0": upstream}), FAST, 10.0)
--- a/packages/router/plantaincart_router/http/client.py
+++ b/packages/router/plantaincart_router/http/client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client with a small pool of keep-alive connections."""
 
 from asyncio import get_running_loop
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from time import monotonic
 
@@ -105,6 +105,7 @@
         body: bytes = b"",
         timeout_s: float | None = None,
         own_connection: bool = False,
+        before_write: Callable[[], None] | None = None,
     ) -> ConnectionAnswer:
         """
         Send a request and return the answer with its connection.
@@ -127,6 +128,9 @@
         own_connection : bool
             Whether no other call may use the connection, before or after, so that no
             late answer to another one can be taken for the answer.
+        before_write : callable, optional
+            Called directly before the bytes are written, and after a connection was
+            opened. If it raises, nothing is sent.
 
         Returns
         -------
@@ -150,21 +154,20 @@
                 raise ConnectFailedError(f"{self._address}: no connection kept")
             connection = kept or await self._open(deadline - loop.time())
             try:
-                answer = await connection.exchange(request, deadline - loop.time())
+                answer = await connection.exchange(
+                    request, deadline - loop.time(), before_write
+                )
             except (AnswerLostError, SendFailedError):
                 if kept is not None:
                     self.close()
                 raise
+            finally:
+                self._put_idle(connection, own_connection)
         except AnswerTimeoutError:
             self.close()
             raise
         finally:
             self._calls_in_progress -= 1
-        is_kept = connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS
-        if is_kept and not own_connection:
-            self._idle.append(connection)
-        else:
-            connection.close()
         return ConnectionAnswer(answer=answer, connection=connection.number)
 
     def close(self) -> None:
@@ -177,6 +180,13 @@
     def _address(self) -> str:
         return f"{self._host}:{self._port}"
 
+    def _put_idle(self, connection: HttpConnection, own_connection: bool) -> None:
+        is_kept = connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS
+        if is_kept and not own_connection:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
     def _pop_idle(self, number: int | None) -> HttpConnection | None:
         self._idle = [connection for connection in self._idle if connection.reusable]
         for connection in reversed(self._idle):
