--- a/packages/router/plantaincart_router/direct/tests/test_planned_stop.py
+++ b/packages/router/plantaincart_router/direct/tests/test_planned_stop.py
@@ -165,7 +165,7 @@
         sent_at = monotonic()
         await caller.send(make_head() + "\r\n")
         status, text = await caller.read()
-        assert monotonic() - sent_at < LONG_WORK_S / 2
+        assert monotonic() - sent_at < 0.3
         await stop
     assert (status, text) == (503, "the instance stops")
     assert upstream.requests == []
@@ -233,6 +233,7 @@
 
 
 async def test_silent_request_is_not_repeated_late():
+    """A repeat for silence began when it could only be cut."""
     upstreams = [Upstream(work(LONG_DEADLINE_S)), Upstream(work(LONG_DEADLINE_S))]
     plan = make_plan(keyed=False, timeout_s=LONG_DEADLINE_S)
     async with run_gateway(*upstreams, bounds=BOUNDS, plan=plan) as (gateway, view):
@@ -281,6 +282,7 @@
 
 
 async def test_relayed_request_that_outlasts_the_grace_period_is_answered():
+    """An asking instance saw the connection to its relay end without an outcome."""
     upstream = Upstream(work(LONG_DEADLINE_S))
     async with run_gateway(upstream, bounds=BOUNDS) as (gateway, view):
         relayed = write_relayed(
