--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -39,7 +39,7 @@
 READY_TARGET = "/plantaincart/readiness"
 # Milliseconds between two entries of an endpoint.
 HEARTBEAT_MS = 870
-REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 412: "Precondition Failed"}
+REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed"}
 
 
 def choose_host(ports, tries=200):
@@ -123,10 +123,13 @@
         # How calls are treated, by the address of the caller: "silent" or None.
         self.treatment = lambda peer: None
         self._changed = asyncio.Event()
-        self._connections = set()
+        self._writers = set()
+        # Number of times that the store was restored, and copies of its contents.
+        self.era, self._copies = 0, []
 
     async def start(self, host):
-        """Listen on a free port."""
+        """Listen on a free port, and take copies from now on."""
+        self._copying = asyncio.create_task(self._take_copies())
         server = await asyncio.start_server(self._serve, host, 0, limit=1 << 22)
         self.host, self.port = host, server.sockets[0].getsockname()[1]
         self.address = f"{host}:{self.port}"
@@ -145,6 +148,25 @@
         row = self.rows.get((table, key))
         return None if row is None else row[0]
 
+    async def _take_copies(self):
+        while True:
+            copy = (time.monotonic(), dict(self.rows), list(self.history), self.version)
+            self._copies.append(copy)
+            del self._copies[:-100]
+            await asyncio.sleep(0.2)
+
+    def restore(self, at):
+        """Come back from the copy of a time, in the next era."""
+        copy = max(copy for copy in self._copies if copy[0] <= at)
+        self.era += 1
+        age_s = time.monotonic() - copy[0]
+        self.record.write(f"store restored, {age_s:.1f} s old, era {self.era}")
+        self.rows, self.history, self.version = dict(copy[1]), list(copy[2]), copy[3]
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _commit(self, changes):
         self.version += 1
         for table, key, value in changes:
@@ -159,6 +181,7 @@
 
     async def _serve(self, reader, writer):
         peer = writer.get_extra_info("peername")[0]
+        self._writers.add(writer)
         try:
             while message := await read_message(reader):
                 line, _, body = message
@@ -171,7 +194,10 @@
                 writer.write(
                     make_answer(
                         status,
-                        [("Content-Type", "application/json")],
+                        [
+                            ("Content-Type", "application/json"),
+                            ("Store-Era", str(self.era)),
+                        ],
                         json.dumps(answer).encode(),
                     )
                 )
@@ -179,7 +205,8 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            writer.close()
+            self._writers.discard(writer)
+            writer.transport.abort()
 
     async def _answer(self, method, target, body):
         url = urlsplit(target)
@@ -219,6 +246,8 @@
         if url.path == "/plantaincart/rows-feed":
             after, ends = int(query["after"]), time.monotonic()
             ends += int(query.get("waitMs", 0)) / 1000
+            if after > self.version:
+                return 410, base
             while True:
                 changed = {}
                 for version, table, key, value in self.history:
@@ -484,6 +513,15 @@
         self.host = choose_host(ports)
         self.process = None
 
+    async def stop(self, grace_s=6.0):
+        """Stop the process as the platform does: SIGTERM, then SIGKILL."""
+        self.signal(signal.SIGTERM)
+        ends_at = time.monotonic() + grace_s
+        while self.process.poll() is None and time.monotonic() < ends_at:
+            await asyncio.sleep(0.05)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
     def start(self):
         """Start the process."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
