--- a/review/7/run.py
+++ b/review/7/run.py
@@ -38,6 +38,7 @@
 
 
 async def measure(system, record, name, seconds):
+    """Send requests for some seconds; return the share that is served."""
     load = Load(system, ROUTES, per_s=20.0)
     await load.run(seconds)
     statuses = list(load.answers.values())
@@ -48,6 +49,7 @@
 
 
 async def run_case(record, trouble):
+    """Run the case; return the exit status."""
     system = System(record)
     host = choose_host([])
     await system.store.start(host)
@@ -123,6 +125,7 @@
 
 
 def main():
+    """Run the case, and exit with its status."""
     record = Record(HERE / "record.txt")
     status = asyncio.run(run_case(record, os.environ.get("TROUBLE", "1") != "0"))
     record.write(f"exit {status}")
--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -16,6 +16,8 @@
 import tempfile
 import time
 import tomllib
+from contextlib import suppress
+from itertools import pairwise
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -39,17 +41,20 @@
 READY_TARGET = "/plantaincart/readiness"
 # Milliseconds between two entries of an endpoint.
 HEARTBEAT_MS = 870
-REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed"}
+REASONS = {
+    200: "OK",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    412: "Precondition Failed",
+}
 
 
 def choose_host(ports, tries=200):
     """Return a loopback address on which all of some ports are free."""
     for _ in range(tries):
-        host = "127.%d.%d.%d" % (
-            random.randint(20, 250),
-            random.randint(1, 250),
-            random.randint(1, 250),
-        )
+        numbers = [random.randint(20, 250) for _ in range(3)]
+        host = f"127.{numbers[0]}.{numbers[1]}.{numbers[2]}"
         sockets = []
         try:
             for port in ports:
@@ -69,13 +74,14 @@
     """Writes what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, path):
-        self._file = open(path, "w")
+        self._path = Path(path)
+        self._path.write_text("")
         self.started_at = time.monotonic()
 
     def write(self, text):
         """Write one line."""
-        self._file.write(f"{time.monotonic() - self.started_at:8.3f} {text}\n")
-        self._file.flush()
+        with self._path.open("a") as file:
+            file.write(f"{time.monotonic() - self.started_at:8.3f} {text}\n")
 
 
 async def read_message(reader):
@@ -256,10 +262,8 @@
                 left = ends - time.monotonic()
                 if changed or left <= 0:
                     break
-                try:
+                with suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), left)
-                except TimeoutError:
-                    pass
             rows = [
                 self._describe(query["table"], key, value, version)
                 for key, (version, value) in sorted(
@@ -517,7 +521,9 @@
         """Stop the process as the platform does: SIGTERM, then SIGKILL."""
         self.signal(signal.SIGTERM)
         ends_at = time.monotonic() + grace_s
-        while self.process.poll() is None and time.monotonic() < ends_at:
+        for _ in range(int(grace_s / 0.05)):
+            if self.process.poll() is not None or time.monotonic() >= ends_at:
+                break
             await asyncio.sleep(0.05)
         self.signal(signal.SIGKILL)
         self.process.wait()
@@ -529,20 +535,22 @@
         path = self.system.folder / f"{self.name}.conf"
         path.write_text(self._render((ROOT / role["template"]).read_text()))
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["PLANTAINCART_BOOT"] = str(path)
-        self.log = open(self.system.folder / f"{self.name}.log", "ab")
-        self.process = subprocess.Popen(
-            role["run"].split(),
-            cwd=ROOT,
-            env=environment,
-            stdin=subprocess.DEVNULL,
-            stdout=self.log,
-            stderr=self.log,
-        )
+        with (self.system.folder / f"{self.name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                role["run"].split(),
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
 
     def _render(self, template):
         values = {
@@ -660,7 +668,6 @@
                 router.signal(signal.SIGCONT)
                 router.signal(signal.SIGKILL)
                 router.process.wait()
-                router.log.close()
 
 
 def find_overlaps(endpoints, least_s):
@@ -675,7 +682,7 @@
             bounds |= {first, last + 1}
     bounds = sorted(bounds)
     found = []
-    for first, after in zip(bounds, bounds[1:]):
+    for first, after in pairwise(bounds):
         spans = []
         for endpoint in endpoints:
             held = sorted(
@@ -751,7 +758,9 @@
             ("Plantaincart-Shard-Key", str(key)),
         ]
         record = self.system.record
-        record.write(f"client sends {attempt} {method} {route} key {key} to {router.name}")
+        record.write(
+            f"client sends {attempt} {method} {route} key {key} to {router.name}"
+        )
         answer = await Client(router.host).call(
             method,
             f"/{route}/{number}",
